--- /dev/null
+++ b/packages/decisions/src/action_ledger.cpp
@@ -0,0 +1,156 @@
+#include "action_ledger.h"
+
+#include "hashing.h"
+
+#include <algorithm>
+
+namespace pomelohub {
+
+static std::string ledgerName(const action_key& key)
+{
+    return key.organisation.text() + '\n' + key.service.text() + '\n' + key.key;
+}
+
+std::uint64_t hashOf(const action_key& key) { return stableHash("action/" + ledgerName(key)); }
+
+std::optional<wall_time> issueTimeOf(std::string_view key)
+{
+    constexpr std::size_t uuidLength = 36;
+    constexpr std::size_t versionPosition = 14;
+    if (key.size() != uuidLength || key[versionPosition] != '7')
+        return std::nullopt;
+    std::uint64_t millis = 0;
+    for (std::size_t i = 0; i < uuidLength; ++i) {
+        bool isDash = i == 8 || i == 13 || i == 18 || i == 23;
+        if (isDash != (key[i] == '-'))
+            return std::nullopt;
+        if (isDash)
+            continue;
+        auto c = static_cast<unsigned char>(key[i]);
+        if (!std::isxdigit(c))
+            return std::nullopt;
+        auto value = std::isdigit(c) ? c - '0' : std::tolower(c) - 'a' + 10;
+        if (i < 13)
+            millis = millis << 4 | static_cast<std::uint64_t>(value);
+    }
+    return wall_time(std::chrono::milliseconds(millis));
+}
+
+action_ledger::action_ledger(ledger_policy policy)
+    : m_policy(policy)
+    , m_slotStarts(slotCount, wall_time::min())
+{
+}
+
+result<ledger_decision> action_ledger::begin(
+    const action_key& key, const digest& request, wall_time now)
+{
+    // A wall clock that is set back must not bring back keys whose entries were dropped.
+    m_latest = std::max(m_latest, now);
+    auto name = ledgerName(key);
+    auto found = m_actions.find(name);
+    return found == m_actions.end() ? beginNew(name, key, request, now) : repeat(found->second, request);
+}
+
+result<ledger_decision> action_ledger::beginNew(
+    const std::string& name, const action_key& key, const digest& request, wall_time now)
+{
+    auto issued = issueTimeOf(key.key);
+    if (!issued)
+        return notRun(refusal_reason::idempotencyKeyInvalid, "the key is not a version 7 UUID");
+    if (*issued > now + m_policy.clockSkew)
+        return notRun(refusal_reason::idempotencyKeyInvalid, "the key's time lies in the future");
+    auto slot = slotOf(hashOf(key));
+    auto start = m_slotStarts[slot];
+    auto fence = m_latest - m_policy.retention;
+    if (start != wall_time::min())
+        fence = std::max(fence, start + m_policy.clockSkew);
+    if (*issued <= fence)
+        return mayHaveRun(refusal_reason::idempotencyKeyExpired,
+            "the key is older than this authority's memory, so the request may have run before");
+    if (m_actions.size() >= m_policy.maxEntries)
+        return notRun(refusal_reason::backendServerBusy, "the memory of actions is full",
+            std::chrono::seconds(1));
+    m_actions.emplace(name, action { slot, request, *issued, phase::running, {} });
+    return ledger_decision(run_action {});
+}
+
+result<ledger_decision> action_ledger::repeat(const action& known, const digest& request)
+{
+    if (known.request != request)
+        return notRun(refusal_reason::idempotencyKeyReused, "the key was used for another request");
+    switch (known.state) {
+    case phase::running:
+        return ledger_decision(await_action {});
+    case phase::answered:
+        return ledger_decision(replay_answer { known.answer });
+    case phase::answerDropped:
+        return mayHaveRun(refusal_reason::backendServerFailed,
+            "the request ran, but its answer was too large to be kept");
+    case phase::unknown:
+        break;
+    }
+    return mayHaveRun(refusal_reason::backendServerFailed, "the request may have run before");
+}
+
+void action_ledger::finish(const action_key& key, stored_answer answer)
+{
+    auto found = m_actions.find(ledgerName(key));
+    if (found == m_actions.end())
+        return;
+    auto& known = found->second;
+    auto bytes = answer.body.size();
+    if (bytes > m_policy.maxBodyBytes || m_answerBytes + bytes > m_policy.maxAnswerBytes) {
+        known.state = phase::answerDropped;
+        return;
+    }
+    known.state = phase::answered;
+    known.answer = std::move(answer);
+    m_answerBytes += bytes;
+}
+
+void action_ledger::forget(const action_key& key)
+{
+    auto found = m_actions.find(ledgerName(key));
+    if (found != m_actions.end() && found->second.state == phase::running)
+        m_actions.erase(found);
+}
+
+void action_ledger::markUnknown(const action_key& key)
+{
+    auto found = m_actions.find(ledgerName(key));
+    if (found != m_actions.end() && found->second.state == phase::running)
+        found->second.state = phase::unknown;
+}
+
+void action_ledger::startSlot(slot_index slot, wall_time since)
+{
+    m_slotStarts[slot] = since;
+    std::erase_if(m_actions, [&](auto& entry) {
+        if (entry.second.slot != slot)
+            return false;
+        dropAnswer(entry.second);
+        return true;
+    });
+}
+
+void action_ledger::dropAnswer(const action& known)
+{
+    if (known.state == phase::answered)
+        m_answerBytes -= known.answer.body.size();
+}
+
+void action_ledger::trim(wall_time now)
+{
+    m_latest = std::max(m_latest, now);
+    std::erase_if(m_actions, [&](auto& entry) {
+        bool isOver = entry.second.issued <= m_latest - m_policy.retention;
+        if (isOver && entry.second.state != phase::running) {
+            dropAnswer(entry.second);
+            return true;
+        }
+        return false;
+    });
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/authentication_filter.cpp
@@ -0,0 +1,31 @@
+#include "authentication_filter.h"
+
+#include "hashing.h"
+
+namespace pomelohub {
+
+request_filter makeAuthenticationFilter(const configuration_table& table)
+{
+    return [&table](request_context& context, const present&) -> result<void> {
+        auto key = std::exchange(context.key, std::nullopt);
+        if (context.matchedRoute->open)
+            return {};
+        if (!key)
+            return notRun(refusal_reason::keyMissing, "the route needs a key");
+        context.keyDigest = sha256(*key);
+        context.organisationResource = table.findByKey(context.keyDigest);
+        if (!context.caller())
+            return notRun(refusal_reason::keyUnknown, "the key belongs to no organisation");
+        return {};
+    };
+}
+
+bool isKeyInForce(const configuration_table& table, const request_context& context)
+{
+    if (!context.organisationResource)
+        return true;
+    auto holder = table.findByKey(context.keyDigest);
+    return holder && holder->name == context.organisationResource->name;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/decision_journal.cpp
@@ -0,0 +1,46 @@
+#include "decision_journal.h"
+
+namespace pomelohub {
+
+static std::string quoted(const std::string& text)
+{
+    if (!text.empty() && text.find_first_of(" \"=\\\n") == std::string::npos)
+        return text;
+    std::string result = "\"";
+    for (char c : text) {
+        if (c == '"' || c == '\\')
+            result.push_back('\\');
+        result.push_back(static_cast<unsigned char>(c) < ' ' ? ' ' : c);
+    }
+    return result + '"';
+}
+
+std::string toLogLine(const decision& made)
+{
+    return "decision subject=" + quoted(made.subject) + " stage=" + quoted(made.stage)
+        + " outcome=" + quoted(made.outcome) + " reason=" + quoted(made.reason);
+}
+
+decision_journal::decision_journal(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+void decision_journal::add(decision made)
+{
+    m_decisions.push_back(std::move(made));
+    if (m_decisions.size() > m_capacity)
+        m_decisions.pop_front();
+}
+
+std::vector<decision> decision_journal::about(const std::string& subject) const
+{
+    std::vector<decision> found;
+    for (const auto& made : m_decisions) {
+        if (made.subject == subject)
+            found.push_back(made);
+    }
+    return found;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/entry_filters.h
@@ -0,0 +1,38 @@
+/** \file
+ * Defines the filters of the entry node in their order.
+ */
+#pragma once
+
+#include "authentication_filter.h"
+#include "deadline_filter.h"
+#include "idempotency_filter.h"
+#include "rate_filter.h"
+#include "readiness_filter.h"
+#include "route_filter.h"
+
+namespace pomelohub {
+
+/** What the filters need. References must outlive the chain. */
+struct entry_filter_parts {
+    const configuration_table& table;
+    token_leases& leases;
+    readiness_hook readiness;
+    refill_hook refill;
+    clock_hook clock;
+    deadline_limits deadlines;
+};
+
+/** The chain that every request passes at the node it entered by. */
+inline request_chain makeEntryChain(const entry_filter_parts& parts)
+{
+    request_chain chain;
+    chain.add("readiness", makeReadinessFilter(parts.readiness))
+        .add("deadline", makeDeadlineFilter(parts.deadlines))
+        .add("route", makeRouteFilter(parts.table))
+        .add("authentication", makeAuthenticationFilter(parts.table))
+        .add("idempotency", makeIdempotencyFilter())
+        .add("rate", makeRateFilter(parts.leases, parts.refill, parts.clock));
+    return chain;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/membership.cpp
@@ -0,0 +1,332 @@
+#include "membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace pomelohub {
+
+static constexpr std::array<std::string_view, 4> statusTexts { "alive", "suspect", "dead", "left" };
+
+std::string_view toText(member_status status) { return statusTexts.at(static_cast<std::size_t>(status)); }
+
+namespace {
+
+    bool prevails(const member_record& candidate, const member_record& known)
+    {
+        return std::tuple(candidate.life.life, candidate.revision, candidate.status)
+            > std::tuple(known.life.life, known.revision, known.status);
+    }
+
+    /** One probe in this many also goes to a member thought dead, so that cuts heal. */
+    constexpr std::uint64_t healInterval = 8;
+
+    /** Estimated bytes of \p record in a datagram. */
+    std::size_t sizeOf(const member_record& record)
+    {
+        std::size_t bytes = 40 + record.life.node.text().size() + record.dataCentre.text().size();
+        for (const auto& backend : record.backends)
+            bytes += 8 + backend.id.text().size() + backend.service.text().size();
+        return bytes + record.endpoint.size();
+    }
+
+} // namespace
+
+membership::membership(
+    member_record self, membership_policy policy, random_hook random, change_hook changed)
+    : m_self(std::move(self))
+    , m_policy(policy)
+    , m_random(std::move(random))
+    , m_changed(std::move(changed))
+{
+    spread(m_self.life.node);
+}
+
+gossip_message membership::makeMessage(
+    gossip_kind kind, std::uint64_t sequence, const log_cursors& cursors)
+{
+    gossip_message message;
+    message.kind = kind;
+    message.sequence = sequence;
+    message.from = m_self.life;
+    message.fromEndpoint = m_self.endpoint;
+    message.cursors = cursors;
+    message.news = takeNews();
+    return message;
+}
+
+std::size_t membership::spreadLimit() const
+{
+    auto members = static_cast<double>(m_others.size() + 2);
+    return static_cast<std::size_t>(std::ceil(m_policy.spreadFactor * std::log2(members)));
+}
+
+void membership::spread(const node_id& node)
+{
+    std::erase_if(m_news, [&](const news_item& item) { return item.node == node; });
+    m_news.push_back({ node, 0 });
+}
+
+std::vector<member_record> membership::takeNews()
+{
+    // Least sent first, so that fresh news is not held up by old news.
+    std::stable_sort(m_news.begin(), m_news.end(),
+        [](const news_item& a, const news_item& b) { return a.timesSent < b.timesSent; });
+    std::vector<member_record> records;
+    std::size_t bytes = 0;
+    for (auto& item : m_news) {
+        const auto& record = item.node == m_self.life.node ? m_self : m_others.at(item.node);
+        if (!records.empty() && bytes + sizeOf(record) > m_policy.newsBudget)
+            continue;
+        bytes += sizeOf(record);
+        records.push_back(record);
+        ++item.timesSent;
+    }
+    auto limit = spreadLimit();
+    std::erase_if(m_news, [&](const news_item& item) { return item.timesSent >= limit; });
+    return records;
+}
+
+std::vector<outgoing_gossip> membership::tick(const log_cursors& cursors, instant now)
+{
+    std::vector<outgoing_gossip> out;
+    checkProbes(out, cursors, now);
+    expireSuspects(now);
+    if (now >= m_nextProbe) {
+        m_nextProbe = now + m_policy.probeInterval;
+        startProbe(out, cursors, now);
+    }
+    return out;
+}
+
+void membership::startProbe(std::vector<outgoing_gossip>& out, const log_cursors& cursors, instant now)
+{
+    auto target = nextTarget();
+    if (!target) {
+        probeDeadMember(out, cursors);
+        return;
+    }
+    auto sequence = ++m_sequence;
+    m_probes.push_back({ *target, sequence, now, false });
+    out.push_back(
+        { m_others.at(*target).endpoint, makeMessage(gossip_kind::probe, sequence, cursors) });
+    if (sequence % healInterval == 0)
+        probeDeadMember(out, cursors);
+}
+
+void membership::probeDeadMember(std::vector<outgoing_gossip>& out, const log_cursors& cursors)
+{
+    std::vector<const member_record*> dead;
+    for (const auto& [node, record] : m_others) {
+        if (record.status == member_status::dead)
+            dead.push_back(&record);
+    }
+    if (dead.empty())
+        return;
+    const auto& target = *dead[m_random(dead.size())];
+    auto message = makeMessage(gossip_kind::probe, 0, cursors);
+    // The member must see that it is thought dead, or it would have nothing to refute.
+    message.news.push_back(target);
+    out.push_back({ target.endpoint, std::move(message) });
+}
+
+std::optional<node_id> membership::nextTarget()
+{
+    if (m_round.empty()) {
+        for (const auto& [node, record] : m_others) {
+            if (isPresent(record.status))
+                m_round.push_back(node);
+        }
+        for (std::size_t i = m_round.size(); i > 1; --i)
+            std::swap(m_round[i - 1], m_round[m_random(i)]);
+    }
+    while (!m_round.empty()) {
+        auto node = m_round.back();
+        m_round.pop_back();
+        auto found = m_others.find(node);
+        if (found != m_others.end() && isPresent(found->second.status))
+            return node;
+    }
+    return std::nullopt;
+}
+
+void membership::checkProbes(
+    std::vector<outgoing_gossip>& out, const log_cursors& cursors, instant now)
+{
+    for (auto& probe : m_probes) {
+        if (!probe.indirectSent && now - probe.sentAt >= m_policy.probeTimeout) {
+            probe.indirectSent = true;
+            sendIndirect(out, probe, cursors);
+        }
+    }
+    std::erase_if(m_probes, [&](const pending_probe& probe) {
+        if (now - probe.sentAt < m_policy.probeInterval)
+            return false;
+        suspectMember(probe.target, now);
+        return true;
+    });
+    std::erase_if(m_relayed,
+        [&](const auto& entry) { return now - entry.second.sentAt > m_policy.probeInterval; });
+}
+
+void membership::sendIndirect(
+    std::vector<outgoing_gossip>& out, const pending_probe& probe, const log_cursors& cursors)
+{
+    auto target = m_others.find(probe.target);
+    if (target == m_others.end())
+        return;
+    std::vector<const member_record*> helpers;
+    for (const auto& [node, record] : m_others) {
+        if (node != probe.target && record.status == member_status::alive)
+            helpers.push_back(&record);
+    }
+    for (std::size_t i = 0; i < m_policy.indirectProbes && !helpers.empty(); ++i) {
+        auto picked = m_random(helpers.size());
+        auto message = makeMessage(gossip_kind::probeRequest, probe.sequence, cursors);
+        message.target = probe.target;
+        message.targetEndpoint = target->second.endpoint;
+        out.push_back({ helpers[picked]->endpoint, std::move(message) });
+        helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(picked));
+    }
+}
+
+void membership::suspectMember(const node_id& node, instant now)
+{
+    auto found = m_others.find(node);
+    if (found == m_others.end() || found->second.status != member_status::alive)
+        return;
+    auto record = found->second;
+    record.status = member_status::suspect;
+    mergeOne(record, now);
+}
+
+void membership::expireSuspects(instant now)
+{
+    std::vector<member_record> dead;
+    for (const auto& [node, record] : m_others) {
+        if (record.status == member_status::suspect
+            && now - m_statusSince[node] >= m_policy.suspicionTimeout)
+            dead.push_back(record);
+    }
+    for (auto& record : dead) {
+        record.status = member_status::dead;
+        mergeOne(record, now);
+    }
+    std::erase_if(m_others, [&](const auto& entry) {
+        if (isPresent(entry.second.status) || now - m_statusSince[entry.first] < m_policy.forgetAfter)
+            return false;
+        m_statusSince.erase(entry.first);
+        std::erase_if(m_news, [&](const news_item& item) { return item.node == entry.first; });
+        return true;
+    });
+}
+
+std::vector<outgoing_gossip> membership::receive(
+    const gossip_message& message, const log_cursors& cursors, instant now)
+{
+    std::vector<outgoing_gossip> out;
+    if (message.from.node == m_self.life.node)
+        return out;
+    m_lastHeard = now;
+    merge(message.news, now);
+    switch (message.kind) {
+    case gossip_kind::probe:
+        out.push_back({ message.fromEndpoint,
+            makeMessage(gossip_kind::acknowledgement, message.sequence, cursors) });
+        break;
+    case gossip_kind::acknowledgement:
+        acknowledge(message, out, cursors);
+        break;
+    case gossip_kind::probeRequest: {
+        auto sequence = ++m_sequence;
+        m_relayed[sequence] = { message.fromEndpoint, message.sequence, now };
+        out.push_back(
+            { message.targetEndpoint, makeMessage(gossip_kind::probe, sequence, cursors) });
+        break;
+    }
+    case gossip_kind::report:
+        break;
+    }
+    return out;
+}
+
+void membership::acknowledge(
+    const gossip_message& message, std::vector<outgoing_gossip>& out, const log_cursors& cursors)
+{
+    auto relayed = m_relayed.find(message.sequence);
+    if (relayed != m_relayed.end()) {
+        out.push_back({ relayed->second.askerEndpoint,
+            makeMessage(gossip_kind::acknowledgement, relayed->second.askerSequence, cursors) });
+        m_relayed.erase(relayed);
+        return;
+    }
+    std::erase_if(
+        m_probes, [&](const pending_probe& probe) { return probe.sequence == message.sequence; });
+}
+
+void membership::merge(const std::vector<member_record>& records, instant now)
+{
+    for (const auto& record : records)
+        mergeOne(record, now);
+}
+
+void membership::mergeOne(const member_record& record, instant now)
+{
+    if (record.life.node == m_self.life.node) {
+        refute(record);
+        return;
+    }
+    auto [found, isNew] = m_others.try_emplace(record.life.node, record);
+    if (!isNew && !prevails(record, found->second))
+        return;
+    if (isNew || found->second.status != record.status || found->second.life != record.life)
+        m_statusSince[record.life.node] = now;
+    found->second = record;
+    spread(record.life.node);
+    m_changed(record);
+}
+
+void membership::refute(const member_record& record)
+{
+    bool isWrong = record.life.life == m_self.life.life && record.status > m_self.status;
+    if (!isWrong || record.revision < m_self.revision)
+        return;
+    m_self.revision = record.revision + 1;
+    spread(m_self.life.node);
+}
+
+void membership::updateSelf(const std::function<void(member_record&)>& change)
+{
+    change(m_self);
+    ++m_self.revision;
+    spread(m_self.life.node);
+}
+
+std::vector<outgoing_gossip> membership::leave(const log_cursors& cursors)
+{
+    updateSelf([](member_record& self) { self.status = member_status::left; });
+    std::vector<outgoing_gossip> out;
+    for (std::size_t i = 0; i < spreadLimit(); ++i) {
+        auto target = nextTarget();
+        if (!target)
+            break;
+        out.push_back({ m_others.at(*target).endpoint, makeMessage(gossip_kind::probe, 0, cursors) });
+    }
+    return out;
+}
+
+std::vector<member_record> membership::all() const
+{
+    std::vector<member_record> records { m_self };
+    for (const auto& [node, record] : m_others)
+        records.push_back(record);
+    return records;
+}
+
+std::size_t membership::liveCount() const
+{
+    return 1 + static_cast<std::size_t>(std::count_if(
+               m_others.begin(), m_others.end(), [](const auto& entry) { return isPresent(entry.second.status); }));
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/rate_ledger.cpp
@@ -0,0 +1,98 @@
+#include "rate_ledger.h"
+
+#include "hashing.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomelohub {
+
+rate_share shareOf(const organisation& limits)
+{
+    return { limits.requestsPerSecond / rateParts, static_cast<double>(limits.burst) / rateParts };
+}
+
+static std::string bucketName(const rate_part& part)
+{
+    return part.organisation.text() + '/' + std::to_string(part.part);
+}
+
+std::uint64_t hashOf(const rate_part& part) { return stableHash("rate/" + bucketName(part)); }
+
+rate_ledger::rate_ledger(std::chrono::milliseconds lifetime, int clockRateError, incarnation life)
+    : m_lifetime(lifetime)
+    , m_clockRateError(clockRateError)
+    , m_lastGrant(life)
+    , m_slotStarts(slotCount, instant::min())
+{
+}
+
+rate_grant rate_ledger::grant(const rate_request& request, const rate_share& share, instant now)
+{
+    auto& bucket = bucketFor(request.part, share, now);
+    settle(bucket, request);
+    accrue(bucket, now);
+    // A node that lost an answer asks again before its former grant has expired. It waits for that.
+    if (bucket.outstanding.contains(request.entry.node))
+        return {};
+    auto tokens = std::min(static_cast<std::uint32_t>(bucket.level), request.wanted);
+    if (tokens == 0)
+        return {};
+    bucket.level -= tokens;
+    auto id = ++m_lastGrant;
+    auto expires = now + m_lifetime * (1000 + m_clockRateError) / 1000;
+    bucket.outstanding[request.entry.node] = { id, tokens, expires };
+    return { id, tokens, m_lifetime };
+}
+
+rate_ledger::bucket& rate_ledger::bucketFor(const rate_part& part, const rate_share& share, instant now)
+{
+    auto [found, isNew] = m_buckets.try_emplace(bucketName(part));
+    auto& bucket = found->second;
+    bucket.share = share;
+    if (!isNew)
+        return bucket;
+    bucket.slot = slotOf(hashOf(part));
+    auto start = m_slotStarts[bucket.slot];
+    bucket.level = start == instant::min() ? share.burst : 0;
+    bucket.accruedAt = start == instant::min() ? now : start;
+    return bucket;
+}
+
+void rate_ledger::settle(bucket& bucket, const rate_request& request)
+{
+    auto found = bucket.outstanding.find(request.entry.node);
+    if (found == bucket.outstanding.end() || found->second.id != request.settles)
+        return;
+    bucket.level += std::min(request.unspent, found->second.tokens);
+    bucket.outstanding.erase(found);
+}
+
+void rate_ledger::accrue(bucket& bucket, instant now)
+{
+    std::erase_if(bucket.outstanding, [&](const auto& entry) { return entry.second.expires <= now; });
+    double held = 0;
+    for (const auto& [node, grant] : bucket.outstanding)
+        held += grant.tokens;
+    auto seconds = std::chrono::duration<double>(now - bucket.accruedAt).count();
+    bucket.accruedAt = std::max(bucket.accruedAt, now);
+    auto grown = bucket.level + std::max(0.0, seconds) * bucket.share.tokensPerSecond;
+    bucket.level = std::max(0.0, std::min(grown, bucket.share.burst - held));
+}
+
+void rate_ledger::startSlot(slot_index slot, instant since)
+{
+    std::erase_if(m_buckets, [&](const auto& entry) { return entry.second.slot == slot; });
+    m_slotStarts[slot] = since;
+}
+
+void rate_ledger::trim(instant now)
+{
+    for (auto& [name, bucket] : m_buckets)
+        accrue(bucket, now);
+    std::erase_if(m_buckets, [](const auto& entry) {
+        return entry.second.outstanding.empty() && entry.second.level >= entry.second.share.burst;
+    });
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/slot_controller.h
@@ -0,0 +1,82 @@
+/** \file
+ * Defines slot_controller, which decides which slots this node claims, releases and may use at present.
+ */
+#pragma once
+
+#include "slot_table.h"
+
+#include <span>
+
+namespace pomelohub {
+
+/** Limits of the slot protocol. All nodes must use the same ones. */
+struct slot_policy {
+    /** How long a holder goes on without any news of the log. A successor that has no proof of the holder's
+     * end waits this long, so it bounds both the outage that rights survive and the loss after a crash. */
+    duration staleLimit = std::chrono::hours(6);
+    /** Longest time for which a holder's grants outlive its right. */
+    duration grantLifetime = std::chrono::seconds(1);
+    /** Largest difference of the rates of two clocks, in thousandths. */
+    int clockRateError = 10;
+    /** How long a better placed member must have been alive before a slot moves to it. */
+    duration settleTime = std::chrono::seconds(5);
+    /** How often a holder repeats its slots for the log's retention. */
+    duration restateInterval = std::chrono::hours(4);
+};
+
+/** A member as slot placement sees it. */
+struct slot_candidate {
+    node_life life;
+    bool alive = true;
+};
+
+/** Owns the slot table. Thread safety: one thread at a time. */
+class slot_controller {
+public:
+    slot_controller(node_life self, slot_policy policy);
+
+    /** Applies a record read from the fleet stream. */
+    void apply(const slot_record& record, instant now);
+
+    /** Notes that the stream was known up to its end at \p when: the time at which the question was sent. */
+    void noteEvidence(instant when);
+
+    /** Allows claims. Precondition: this node knows every slot's history, from a peer's snapshot or because
+     * the log still has the first record. */
+    void allowClaims() { m_mayClaim = true; }
+
+    /** The records that this node should append now. */
+    std::vector<slot_record> tick(std::span<const slot_candidate> members, instant now);
+
+    /** The records by which a leaving node gives up its slots. */
+    std::vector<slot_record> leave();
+
+    /** Whether this node is the authority for \p slot at \p now. Must be asked at the moment of use. */
+    bool mayUse(slot_index slot, instant now) const;
+
+    /** Time since when this node has been the authority for \p slot. Precondition: it holds the slot. */
+    instant heldSince(slot_index slot) const;
+
+    const slot_table& table() const { return m_table; }
+    instant lastEvidence() const { return m_lastEvidence; }
+
+private:
+    bool isHolderGone(const slot_state& state, std::span<const slot_candidate> members) const;
+    bool wantsClaim(slot_index slot, std::span<const slot_candidate> members, instant now);
+    bool mustRelease(slot_index slot, std::span<const slot_candidate> members) const;
+    bool hasHolderExpired(slot_index slot, instant now) const;
+    duration waitForStaleHolder() const;
+    const node_life* preferred(slot_index slot, std::span<const slot_candidate> members) const;
+
+    node_life m_self;
+    slot_policy m_policy;
+    slot_table m_table;
+    bool m_mayClaim = false;
+    bool m_leaving = false;
+    instant m_lastEvidence {};
+    instant m_lastRestated {};
+    std::vector<instant> m_usableFrom;
+    std::vector<instant> m_preferredSince;
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/slot_table.cpp
@@ -0,0 +1,75 @@
+#include "slot_table.h"
+
+namespace pomelohub {
+
+slot_table::slot_table()
+    : m_slots(slotCount)
+{
+}
+
+void slot_table::apply(const slot_record& record, instant now)
+{
+    if (record.change == slot_change::join) {
+        endEarlierLives(record.by, now);
+        return;
+    }
+    for (std::size_t i = 0; i < record.slots.size() && i < record.terms.size(); ++i) {
+        if (record.slots[i] < slotCount)
+            applyToSlot(record, m_slots[record.slots[i]], record.terms[i], now);
+    }
+}
+
+void slot_table::applyToSlot(const slot_record& record, slot_state& slot, slot_term term, instant now)
+{
+    if (record.change == slot_change::restate) {
+        if (term > slot.term)
+            slot = { term, record.by, std::nullopt, now };
+        return;
+    }
+    if (slot.term != term)
+        return;
+    if (record.change == slot_change::claim)
+        claim(slot, record.by, now);
+    else
+        release(slot, record.by, now);
+}
+
+void slot_table::claim(slot_state& slot, const node_life& by, instant now)
+{
+    if (slot.holder == by || slot.claimant == by)
+        return;
+    ++slot.term;
+    slot.claimedAt = now;
+    // A slot that was never held has nobody to wait for. Later ones go through a claimant.
+    if (slot.holder)
+        slot.claimant = by;
+    else
+        slot.holder = by;
+}
+
+void slot_table::release(slot_state& slot, const node_life& by, instant now)
+{
+    if (slot.claimant == by)
+        slot.claimant.reset();
+    if (slot.holder != by)
+        return;
+    ++slot.term;
+    slot.holder = slot.claimant;
+    slot.claimant.reset();
+    slot.claimedAt = now;
+}
+
+void slot_table::endEarlierLives(const node_life& life, instant now)
+{
+    auto isEarlier = [&](const std::optional<node_life>& other) {
+        return other && other->node == life.node && other->life < life.life;
+    };
+    for (auto& slot : m_slots) {
+        if (isEarlier(slot.claimant))
+            slot.claimant.reset();
+        if (isEarlier(slot.holder))
+            release(slot, node_life(*slot.holder), now);
+    }
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/messages/src/body_pipe.cpp
@@ -0,0 +1,159 @@
+#include "body_pipe.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace pomelohub {
+
+body_pipe::body_pipe(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+bool body_pipe::write(std::string_view bytes, instant deadline)
+{
+    std::unique_lock lock(m_mutex);
+    while (!bytes.empty()) {
+        auto hasRoom = [&] { return m_readerClosed || m_failure || m_buffer.size() - m_start < m_capacity; };
+        if (!m_changed.wait_until(lock, deadline, hasRoom) || m_readerClosed || m_failure)
+            return false;
+        auto part = bytes.substr(0, m_capacity - (m_buffer.size() - m_start));
+        m_buffer.append(part);
+        bytes.remove_prefix(part.size());
+        notifyReader(lock);
+    }
+    return true;
+}
+
+void body_pipe::offer(std::string_view bytes)
+{
+    std::unique_lock lock(m_mutex);
+    if (!m_readerClosed)
+        m_buffer.append(bytes);
+    notifyReader(lock);
+}
+
+void body_pipe::finish()
+{
+    std::unique_lock lock(m_mutex);
+    m_finished = true;
+    notifyReader(lock);
+}
+
+void body_pipe::fail(verdict why)
+{
+    std::unique_lock lock(m_mutex);
+    if (m_finished || m_failure)
+        return;
+    m_failure = std::move(why);
+    notifyReader(lock);
+}
+
+void body_pipe::notifyReader(std::unique_lock<std::mutex>& lock)
+{
+    m_changed.notify_all();
+    if (!m_readerWaits || !m_readable)
+        return;
+    m_readerWaits = false;
+    auto hook = m_readable;
+    lock.unlock();
+    hook();
+    lock.lock();
+}
+
+pipe_read body_pipe::take(char* out, std::size_t size)
+{
+    auto bytes = std::min(size, m_buffer.size() - m_start);
+    std::memcpy(out, m_buffer.data() + m_start, bytes);
+    m_start += bytes;
+    if (m_start == m_buffer.size()) {
+        m_buffer.clear();
+        m_start = 0;
+    }
+    if (bytes > 0)
+        return { bytes, pipe_state::open };
+    if (m_failure)
+        return { 0, pipe_state::failed };
+    return { 0, m_finished ? pipe_state::ended : pipe_state::open };
+}
+
+pipe_read body_pipe::read(char* out, std::size_t size, instant deadline)
+{
+    std::unique_lock lock(m_mutex);
+    auto isReady = [&] { return m_start < m_buffer.size() || m_finished || m_failure; };
+    if (!m_changed.wait_until(lock, deadline, isReady))
+        return { 0, pipe_state::timedOut };
+    auto result = take(out, size);
+    m_changed.notify_all();
+    lock.unlock();
+    notifyConsumed(result.bytes);
+    return result;
+}
+
+pipe_read body_pipe::poll(char* out, std::size_t size)
+{
+    std::unique_lock lock(m_mutex);
+    auto result = take(out, size);
+    if (result.bytes == 0 && result.state == pipe_state::open)
+        m_readerWaits = true;
+    m_changed.notify_all();
+    lock.unlock();
+    notifyConsumed(result.bytes);
+    return result;
+}
+
+void body_pipe::notifyConsumed(std::size_t bytes)
+{
+    std::function<void(std::size_t)> hook;
+    {
+        std::lock_guard lock(m_mutex);
+        hook = m_consumed;
+    }
+    if (bytes > 0 && hook)
+        hook(bytes);
+}
+
+void body_pipe::closeReader()
+{
+    std::size_t dropped = 0;
+    {
+        std::lock_guard lock(m_mutex);
+        m_readerClosed = true;
+        dropped = m_buffer.size() - m_start;
+        m_buffer.clear();
+        m_start = 0;
+        m_changed.notify_all();
+    }
+    notifyConsumed(dropped);
+}
+
+verdict body_pipe::failure() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_failure.value_or(verdict { execution::mayHaveRun, refusal_reason::pathFailed, "", {} });
+}
+
+void body_pipe::setReadableHook(std::function<void()> hook)
+{
+    std::unique_lock lock(m_mutex);
+    m_readable = std::move(hook);
+    if (m_start < m_buffer.size() || m_finished || m_failure)
+        notifyReader(lock);
+}
+
+void body_pipe::setConsumedHook(std::function<void(std::size_t)> hook)
+{
+    std::lock_guard lock(m_mutex);
+    m_consumed = std::move(hook);
+}
+
+void body_pipe::dropHooks()
+{
+    std::function<void()> readable;
+    std::function<void(std::size_t)> consumed;
+    std::lock_guard lock(m_mutex);
+    readable.swap(m_readable);
+    consumed.swap(m_consumed);
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/messages/src/node_messages.h
@@ -0,0 +1,48 @@
+/** \file
+ * Defines the encoding of what nodes tell each other, in MessagePack by the JSON library. Decoders accept any
+ * bytes and return nothing for those that are not such a message.
+ */
+#pragma once
+
+#include "configuration_controller.h"
+#include "ejection_budget.h"
+#include "log_client.h"
+#include "membership.h"
+#include "rate_ledger.h"
+
+namespace pomelohub {
+
+/** Thread safety of all functions here: any thread. */
+std::string encode(const gossip_message& message);
+std::optional<gossip_message> decodeGossip(std::string_view bytes);
+
+std::string encode(const rate_request& request);
+std::optional<rate_request> decodeRateRequest(std::string_view bytes);
+
+std::string encode(const rate_grant& grant);
+std::optional<rate_grant> decodeRateGrant(std::string_view bytes);
+
+std::string encode(const ejection_request& request);
+std::optional<ejection_request> decodeEjectionRequest(std::string_view bytes);
+
+std::string encode(const ejection_permit& permit);
+std::optional<ejection_permit> decodeEjectionPermit(std::string_view bytes);
+
+std::string encode(const std::vector<member_record>& members);
+std::optional<std::vector<member_record>> decodeMembers(std::string_view bytes);
+
+/** The state that a starting node takes from a peer. */
+struct start_state {
+    configuration_snapshot configuration;
+    std::uint64_t fleetNext = 0;
+    std::vector<slot_record> slots; ///< One restatement for each holder.
+    std::vector<member_record> members;
+};
+
+std::string encode(const start_state& state);
+std::optional<start_state> decodeStartState(std::string_view bytes);
+
+std::string encode(const log_page& page);
+std::optional<log_page> decodeLogPage(std::string_view bytes);
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/messages/src/peer_client.cpp
@@ -0,0 +1,175 @@
+#include "peer_client.h"
+
+#include <charconv>
+
+namespace pomelohub {
+
+namespace {
+
+    constexpr std::chrono::milliseconds connectTimeout { 1000 };
+
+    /** One attempt to connect, with its timer. Lives on a strand of its own. */
+    struct connect_attempt : counted<connect_attempt> {
+        using done_hook = std::function<void(handle<peer_session>, const std::string& why)>;
+
+        connect_attempt(asio::io_context& io, handle<tls_contexts> material)
+            : contexts(std::move(material))
+            , stream(asio::ip::tcp::socket(asio::make_strand(io)), contexts->client)
+            , timer(stream.get_executor())
+        {
+        }
+
+        handle<tls_contexts> contexts;
+        tls_stream stream;
+        asio::steady_timer timer;
+        peer_address peer;
+        session_limits limits;
+        clock_hook clock;
+        done_hook done;
+
+        void start()
+        {
+            auto parts = splitEndpoint(peer.endpoint);
+            asio::error_code error;
+            auto address = asio::ip::make_address(parts ? parts->first : "", error);
+            if (error)
+                return end("not an address: " + peer.endpoint);
+            timer.expires_after(connectTimeout);
+            timer.async_wait([self = handle<connect_attempt>(this)](const asio::error_code& stopped) {
+                if (!stopped)
+                    self->stream.lowest_layer().close();
+            });
+            stream.lowest_layer().async_connect({ address, parts->second },
+                [self = handle<connect_attempt>(this)](const asio::error_code& failure) {
+                    if (failure)
+                        return self->end(failure.message());
+                    self->shakeHands();
+                });
+        }
+        void shakeHands()
+        {
+            stream.lowest_layer().set_option(asio::ip::tcp::no_delay(true));
+            stream.async_handshake(asio::ssl::stream_base::client,
+                [self = handle<connect_attempt>(this)](const asio::error_code& failure) {
+                    if (failure)
+                        return self->end(failure.message());
+                    if (peerCommonName(self->stream.native_handle()) != self->peer.node.text())
+                        return self->end("another node answers there");
+                    self->timer.cancel();
+                    handle<peer_session> session(new peer_session(std::move(self->stream), self->contexts,
+                        session_role::client, self->peer.node, self->limits, self->clock));
+                    std::exchange(self->done, nullptr)(session, "");
+                });
+        }
+        void end(const std::string& why)
+        {
+            timer.cancel();
+            asio::error_code ignored;
+            stream.lowest_layer().close(ignored);
+            std::exchange(done, nullptr)(nullptr, why);
+        }
+    };
+
+} // namespace
+
+std::optional<std::pair<std::string, std::uint16_t>> splitEndpoint(const std::string& text)
+{
+    auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return std::nullopt;
+    std::uint16_t port = 0;
+    const auto* end = text.data() + text.size();
+    auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+    if (error != std::errc() || stop != end)
+        return std::nullopt;
+    return std::pair(text.substr(0, colon), port);
+}
+
+peer_client::peer_client(asio::io_context& io, const rcu_cell<tls_contexts>& contexts, session_limits limits,
+    clock_hook clock)
+    : m_io(io)
+    , m_contexts(contexts)
+    , m_limits(limits)
+    , m_clock(std::move(clock))
+    , m_strand(asio::make_strand(io))
+{
+}
+
+void peer_client::send(const peer_address& peer, const handle<exchange>& asked)
+{
+    asio::post(
+        m_strand, [self = handle<peer_client>(this), peer, asked] { self->sendNow(peer, asked); });
+}
+
+void peer_client::sendNow(const peer_address& peer, const handle<exchange>& asked)
+{
+    auto& entry = m_connections[peer.endpoint];
+    if (entry && entry->session && !entry->session->isClosing()) {
+        entry->session->submit(asked);
+        return;
+    }
+    if (!entry || entry->session) {
+        entry = new connection;
+        connect(peer, entry);
+    }
+    entry->waiting.push_back(asked);
+}
+
+void peer_client::connect(const peer_address& peer, const handle<connection>& made)
+{
+    auto contexts = boost::const_pointer_cast<tls_contexts>(m_contexts.load());
+    handle<connect_attempt> attempt(new connect_attempt(m_io, contexts));
+    attempt->peer = peer;
+    attempt->limits = m_limits;
+    attempt->clock = m_clock;
+    attempt->done = [self = handle<peer_client>(this), peer, made](
+                        const handle<peer_session>& session, const std::string& why) {
+        asio::post(self->m_strand, [self, peer, made, session, why] {
+            if (session)
+                self->established(peer, made, session);
+            else
+                self->failed(peer, made, why);
+        });
+    };
+    asio::post(attempt->stream.get_executor(), [attempt] { attempt->start(); });
+}
+
+void peer_client::established(
+    const peer_address& peer, const handle<connection>& made, const handle<peer_session>& session)
+{
+    made->session = session;
+    auto forget = [self = handle<peer_client>(this), endpoint = peer.endpoint, made] {
+        asio::post(self->m_strand, [self, endpoint, made] {
+            auto found = self->m_connections.find(endpoint);
+            if (found != self->m_connections.end() && found->second == made)
+                self->m_connections.erase(found);
+            made->session = nullptr;
+        });
+    };
+    session->start([](const handle<exchange>&, const node_id&) {}, forget);
+    for (const auto& asked : std::exchange(made->waiting, {}))
+        session->submit(asked);
+}
+
+void peer_client::failed(
+    const peer_address& peer, const handle<connection>& made, const std::string& why)
+{
+    auto found = m_connections.find(peer.endpoint);
+    if (found != m_connections.end() && found->second == made)
+        m_connections.erase(found);
+    for (const auto& asked : std::exchange(made->waiting, {}))
+        asked->refuse({ execution::notRun, refusal_reason::pathFailed,
+            "no connection to " + peer.node.text() + ": " + why, {} });
+}
+
+void peer_client::shutDown()
+{
+    asio::post(m_strand, [self = handle<peer_client>(this)] {
+        for (auto& [endpoint, each] : self->m_connections) {
+            if (each->session)
+                each->session->shutDown();
+        }
+    });
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/messages/src/peer_session.cpp
@@ -0,0 +1,493 @@
+#include "peer_session.h"
+
+#include <charconv>
+
+namespace pomelohub {
+
+namespace {
+
+    constexpr std::int32_t connectionWindow = 16 * 1024 * 1024;
+    constexpr std::uint32_t streamWindow = 256 * 1024;
+    constexpr std::size_t outputBatch = 64 * 1024;
+    constexpr std::chrono::milliseconds watchInterval { 250 };
+
+    nghttp2_nv toField(const std::string& name, const std::string& value)
+    {
+        auto bytes = [](const std::string& text) {
+            return const_cast<std::uint8_t*>(reinterpret_cast<const std::uint8_t*>(text.data()));
+        };
+        return { bytes(name), bytes(value), name.size(), value.size(), NGHTTP2_NV_FLAG_NONE };
+    }
+
+    std::vector<nghttp2_nv> toFields(const std::vector<header_field>& headers)
+    {
+        std::vector<nghttp2_nv> fields;
+        fields.reserve(headers.size());
+        for (const auto& [name, value] : headers)
+            fields.push_back(toField(name, value));
+        return fields;
+    }
+
+    std::optional<std::int64_t> toNumber(const std::string& text)
+    {
+        std::int64_t number = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return number;
+    }
+
+    peer_session& sessionOf(void* self) { return *static_cast<peer_session*>(self); }
+
+} // namespace
+
+std::vector<header_field> toHeaders(const verdict& why)
+{
+    return { { std::string(verdictHeader), std::string(toText(why.outcome)) },
+        { std::string(reasonHeader), std::string(toText(why.reason)) },
+        { std::string(detailHeader), why.detail },
+        { std::string(retryAfterHeader), std::to_string(why.retryAfter.count()) } };
+}
+
+std::optional<verdict> verdictFromHeaders(const std::vector<header_field>& headers)
+{
+    auto outcome = executionFromText(headerValue(headers, verdictHeader).value_or(""));
+    auto reason = refusalReasonFromText(headerValue(headers, reasonHeader).value_or(""));
+    if (!outcome || !reason)
+        return std::nullopt;
+    auto retryAfter = toNumber(headerValue(headers, retryAfterHeader).value_or("0")).value_or(0);
+    return verdict { *outcome, *reason, headerValue(headers, detailHeader).value_or(""),
+        std::chrono::milliseconds(retryAfter) };
+}
+
+peer_session::peer_session(tls_stream stream, handle<tls_contexts> contexts, session_role role, node_id peer,
+    session_limits limits, clock_hook clock)
+    : m_stream(std::move(stream))
+    , m_contexts(std::move(contexts))
+    , m_role(role)
+    , m_peer(std::move(peer))
+    , m_limits(limits)
+    , m_clock(std::move(clock))
+    , m_watchTimer(m_stream.get_executor())
+{
+    makeSession();
+}
+
+peer_session::~peer_session() { nghttp2_session_del(m_session); }
+
+void peer_session::makeSession()
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, onBeginHeaders);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, onHeader);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, onFrameReceived);
+    nghttp2_session_callbacks_set_before_frame_send_callback(callbacks, onFrameSending);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, onData);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, onStreamClosed);
+    nghttp2_option* option = nullptr;
+    nghttp2_option_new(&option);
+    // Bytes are acknowledged when the reader of a body took them, so that a slow reader slows its writer.
+    nghttp2_option_set_no_auto_window_update(option, 1);
+    if (m_role == session_role::client)
+        nghttp2_session_client_new2(&m_session, callbacks, this, option);
+    else
+        nghttp2_session_server_new2(&m_session, callbacks, this, option);
+    nghttp2_option_del(option);
+    nghttp2_session_callbacks_del(callbacks);
+}
+
+void peer_session::start(incoming_hook incoming, std::function<void()> closed)
+{
+    m_incoming = std::move(incoming);
+    m_closedHook = std::move(closed);
+    onStrand([](peer_session& self) {
+        self.m_lastReceived = self.m_lastActive = self.m_clock().monotonic;
+        self.sendSettings();
+        self.read();
+        self.flush();
+        self.watch();
+    });
+}
+
+void peer_session::sendSettings()
+{
+    std::array<nghttp2_settings_entry, 3> entries { {
+        { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, m_limits.maxStreams },
+        { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindow },
+        { NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, static_cast<std::uint32_t>(m_limits.maxHeadBytes) },
+    } };
+    nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, entries.data(), entries.size());
+    nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, connectionWindow);
+}
+
+void peer_session::onStrand(std::function<void(peer_session&)> action)
+{
+    asio::post(m_stream.get_executor(),
+        [self = handle<peer_session>(this), action = std::move(action)] { action(*self); });
+}
+
+peer_session::stream_state* peer_session::find(std::int32_t streamId)
+{
+    auto found = m_streams.find(streamId);
+    return found == m_streams.end() ? nullptr : &found->second;
+}
+
+void peer_session::submit(const handle<exchange>& asked)
+{
+    onStrand([asked](peer_session& self) { self.submitNow(asked); });
+}
+
+void peer_session::submitNow(const handle<exchange>& asked)
+{
+    if (m_isClosed || m_closing) {
+        asked->refuse({ execution::notRun, refusal_reason::pathFailed, "the connection was closed", {} });
+        return;
+    }
+    auto now = m_clock().monotonic;
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(asked->deadline() - now);
+    const auto& head = asked->request();
+    std::vector<header_field> headers { { ":method", head.method }, { ":scheme", "https" },
+        { ":authority", m_peer.text() }, { ":path", head.path } };
+    headers.insert(headers.end(), head.headers.begin(), head.headers.end());
+    headers.emplace_back(std::string(timeLeftHeader), std::to_string(left.count()));
+    nghttp2_data_provider body { { 0 }, onReadBody };
+    auto fields = toFields(headers);
+    auto streamId
+        = nghttp2_submit_request(m_session, nullptr, fields.data(), fields.size(), &body, nullptr);
+    if (streamId < 0) {
+        asked->refuse({ execution::notRun, refusal_reason::pathFailed, nghttp2_strerror(streamId), {} });
+        return;
+    }
+    m_streams[streamId]
+        = { asked, asked->responseBodyHandle(), asked->requestBodyHandle(), {}, 0, false, false, false };
+    connectBodies(streamId);
+    asked->setCancelHook([self = handle<peer_session>(this), streamId] {
+        self->onStrand([streamId](peer_session& session) {
+            nghttp2_submit_rst_stream(session.m_session, NGHTTP2_FLAG_NONE, streamId, NGHTTP2_CANCEL);
+            session.flush();
+        });
+    });
+    m_lastActive = now;
+    flush();
+}
+
+void peer_session::connectBodies(std::int32_t streamId)
+{
+    auto* stream = find(streamId);
+    stream->outgoingBody->setReadableHook([self = handle<peer_session>(this), streamId] {
+        self->onStrand([streamId](peer_session& session) {
+            nghttp2_session_resume_data(session.m_session, streamId);
+            session.flush();
+        });
+    });
+    stream->incomingBody->setConsumedHook([self = handle<peer_session>(this), streamId](std::size_t bytes) {
+        self->onStrand([streamId, bytes](peer_session& session) {
+            nghttp2_session_consume(session.m_session, streamId, bytes);
+            session.flush();
+        });
+    });
+}
+
+int peer_session::onBeginHeaders(nghttp2_session*, const nghttp2_frame* frame, void* self)
+{
+    auto& session = sessionOf(self);
+    if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
+        session.m_streams.try_emplace(frame->hd.stream_id);
+    return 0;
+}
+
+int peer_session::onHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
+    std::size_t nameLength, const std::uint8_t* value, std::size_t valueLength, std::uint8_t, void* self)
+{
+    return sessionOf(self).takeHeader(frame->hd.stream_id,
+        std::string(reinterpret_cast<const char*>(name), nameLength),
+        std::string(reinterpret_cast<const char*>(value), valueLength));
+}
+
+int peer_session::takeHeader(std::int32_t streamId, std::string name, std::string value)
+{
+    auto* stream = find(streamId);
+    if (!stream)
+        return 0;
+    stream->headBytes += name.size() + value.size();
+    if (stream->headBytes > m_limits.maxHeadBytes)
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    stream->head.emplace_back(std::move(name), std::move(value));
+    return 0;
+}
+
+int peer_session::onFrameReceived(nghttp2_session*, const nghttp2_frame* frame, void* self)
+{
+    auto& session = sessionOf(self);
+    bool endsStream = frame->hd.flags & NGHTTP2_FLAG_END_STREAM;
+    if (frame->hd.type == NGHTTP2_HEADERS)
+        session.headComplete(frame->hd.stream_id, endsStream);
+    else if (frame->hd.type == NGHTTP2_DATA && endsStream) {
+        if (auto* stream = session.find(frame->hd.stream_id)) {
+            stream->isIncomingEnded = true;
+            stream->incomingBody->finish();
+        }
+    } else if (frame->hd.type == NGHTTP2_GOAWAY)
+        session.m_closing = true;
+    else if (frame->hd.type == NGHTTP2_PING && frame->hd.flags & NGHTTP2_FLAG_ACK)
+        session.m_pingSentAt = {};
+    return 0;
+}
+
+void peer_session::headComplete(std::int32_t streamId, bool endsStream)
+{
+    auto* stream = find(streamId);
+    if (!stream)
+        return;
+    if (m_role == session_role::server && !stream->carried)
+        beginIncoming(streamId);
+    else if (m_role == session_role::client && !stream->isAnswered)
+        takeAnswer(streamId);
+    stream = find(streamId);
+    if (stream && endsStream) {
+        stream->isIncomingEnded = true;
+        stream->incomingBody->finish();
+    }
+}
+
+void peer_session::beginIncoming(std::int32_t streamId)
+{
+    auto* stream = find(streamId);
+    request_head head;
+    head.method = headerValue(stream->head, ":method").value_or("");
+    head.path = headerValue(stream->head, ":path").value_or("");
+    auto left = toNumber(headerValue(stream->head, timeLeftHeader).value_or("")).value_or(0);
+    std::erase_if(stream->head, [](const header_field& field) { return field.first.starts_with(':'); });
+    removeHeader(stream->head, timeLeftHeader);
+    head.headers = std::move(stream->head);
+    auto now = m_clock().monotonic;
+    handle<exchange> incoming(new exchange(std::move(head), now + std::chrono::milliseconds(left)));
+    stream->carried = incoming;
+    stream->incomingBody = incoming->requestBodyHandle();
+    stream->outgoingBody = incoming->responseBodyHandle();
+    connectBodies(streamId);
+    incoming->setResponseHook([self = handle<peer_session>(this), streamId] {
+        self->onStrand([streamId](peer_session& session) { session.answerIncoming(streamId); });
+    });
+    m_lastActive = now;
+    m_incoming(incoming, m_peer);
+}
+
+void peer_session::answerIncoming(std::int32_t streamId)
+{
+    auto* stream = find(streamId);
+    if (!stream || m_isClosed)
+        return;
+    auto response = *stream->carried->response();
+    std::vector<header_field> headers;
+    if (response) {
+        headers.emplace_back(":status", std::to_string(response->status));
+        headers.insert(headers.end(), response->headers.begin(), response->headers.end());
+    } else {
+        headers = toHeaders(response.error());
+        headers.insert(headers.begin(), { ":status", std::to_string(httpStatus(response.error().reason)) });
+    }
+    nghttp2_data_provider body { { 0 }, onReadBody };
+    auto fields = toFields(headers);
+    nghttp2_submit_response(m_session, streamId, fields.data(), fields.size(), response ? &body : nullptr);
+    flush();
+}
+
+void peer_session::takeAnswer(std::int32_t streamId)
+{
+    auto* stream = find(streamId);
+    stream->isAnswered = true;
+    if (auto refusal = verdictFromHeaders(stream->head)) {
+        stream->carried->refuse(*refusal);
+        return;
+    }
+    response_head head;
+    head.status = static_cast<int>(toNumber(headerValue(stream->head, ":status").value_or("")).value_or(0));
+    std::erase_if(stream->head, [](const header_field& field) { return field.first.starts_with(':'); });
+    head.headers = std::move(stream->head);
+    stream->carried->respond(std::move(head));
+}
+
+int peer_session::onFrameSending(nghttp2_session*, const nghttp2_frame* frame, void* self)
+{
+    if (frame->hd.type != NGHTTP2_HEADERS)
+        return 0;
+    if (auto* stream = sessionOf(self).find(frame->hd.stream_id))
+        stream->isSent = true;
+    return 0;
+}
+
+int peer_session::onData(nghttp2_session*, std::uint8_t, std::int32_t streamId, const std::uint8_t* data,
+    std::size_t length, void* self)
+{
+    auto& session = sessionOf(self);
+    auto* stream = session.find(streamId);
+    if (stream && stream->incomingBody)
+        stream->incomingBody->offer({ reinterpret_cast<const char*>(data), length });
+    else
+        nghttp2_session_consume(session.m_session, streamId, length);
+    return 0;
+}
+
+ssize_t peer_session::onReadBody(nghttp2_session*, std::int32_t streamId, std::uint8_t* buffer,
+    std::size_t length, std::uint32_t* flags, nghttp2_data_source*, void* self)
+{
+    auto* stream = sessionOf(self).find(streamId);
+    if (!stream)
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    auto part = stream->outgoingBody->poll(reinterpret_cast<char*>(buffer), length);
+    if (part.state == pipe_state::failed)
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    if (part.state == pipe_state::ended)
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    else if (part.bytes == 0)
+        return NGHTTP2_ERR_DEFERRED;
+    return static_cast<ssize_t>(part.bytes);
+}
+
+int peer_session::onStreamClosed(
+    nghttp2_session*, std::int32_t streamId, std::uint32_t errorCode, void* self)
+{
+    sessionOf(self).streamClosed(streamId, errorCode);
+    return 0;
+}
+
+verdict peer_session::lostStreamVerdict(const stream_state& stream, std::uint32_t errorCode) const
+{
+    bool wasNeverTaken = !stream.isSent || errorCode == NGHTTP2_REFUSED_STREAM;
+    return { wasNeverTaken ? execution::notRun : execution::mayHaveRun, refusal_reason::pathFailed,
+        "the stream to " + m_peer.text() + " ended before the answer did", {} };
+}
+
+void peer_session::streamClosed(std::int32_t streamId, std::uint32_t errorCode)
+{
+    auto found = m_streams.find(streamId);
+    if (found == m_streams.end())
+        return;
+    auto stream = std::move(found->second);
+    m_streams.erase(found);
+    m_lastActive = m_clock().monotonic;
+    if (!stream.carried)
+        return;
+    stream.outgoingBody->dropHooks();
+    stream.incomingBody->dropHooks();
+    auto why = lostStreamVerdict(stream, errorCode);
+    if (m_role == session_role::client) {
+        stream.carried->setCancelHook(nullptr);
+        if (!stream.isAnswered || !stream.isIncomingEnded)
+            stream.carried->refuse(why);
+        return;
+    }
+    stream.incomingBody->fail(why);
+    if (errorCode != NGHTTP2_NO_ERROR)
+        stream.carried->cancel();
+}
+
+void peer_session::read()
+{
+    m_stream.async_read_some(asio::buffer(m_input),
+        [self = handle<peer_session>(this)](const asio::error_code& error, std::size_t bytes) {
+            if (error || self->m_isClosed)
+                return self->close(error.message());
+            self->m_lastReceived = self->m_clock().monotonic;
+            auto taken = nghttp2_session_mem_recv(
+                self->m_session, reinterpret_cast<const std::uint8_t*>(self->m_input.data()), bytes);
+            if (taken < 0)
+                return self->close(nghttp2_strerror(static_cast<int>(taken)));
+            self->flush();
+            self->read();
+        });
+}
+
+void peer_session::flush()
+{
+    if (m_isClosed || m_isWriting)
+        return;
+    m_output.clear();
+    while (m_output.size() < outputBatch) {
+        const std::uint8_t* data = nullptr;
+        auto bytes = nghttp2_session_mem_send(m_session, &data);
+        if (bytes < 0)
+            return close(nghttp2_strerror(static_cast<int>(bytes)));
+        if (bytes == 0)
+            break;
+        m_output.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(bytes));
+    }
+    if (!m_output.empty())
+        return write();
+    bool isDone = !nghttp2_session_want_read(m_session) && !nghttp2_session_want_write(m_session);
+    if (isDone || (m_closing && m_streams.empty()))
+        close("the connection was shut down");
+}
+
+void peer_session::write()
+{
+    m_isWriting = true;
+    m_writing.swap(m_output);
+    asio::async_write(m_stream, asio::buffer(m_writing),
+        [self = handle<peer_session>(this)](const asio::error_code& error, std::size_t) {
+            self->m_isWriting = false;
+            if (error)
+                return self->close(error.message());
+            self->flush();
+        });
+}
+
+void peer_session::watch()
+{
+    m_watchTimer.expires_after(watchInterval);
+    m_watchTimer.async_wait([self = handle<peer_session>(this)](const asio::error_code& error) {
+        if (error || self->m_isClosed)
+            return;
+        self->checkSilence(self->m_clock().monotonic);
+        if (!self->m_isClosed)
+            self->watch();
+    });
+}
+
+void peer_session::checkSilence(instant now)
+{
+    bool isPinging = m_pingSentAt != instant {};
+    if (isPinging && now - m_pingSentAt > m_limits.pingTimeout)
+        return close("the peer is silent");
+    if (m_streams.empty()) {
+        if (m_role == session_role::client && now - m_lastActive > m_limits.idleBeforeClose)
+            close("the connection was idle");
+        return;
+    }
+    if (isPinging || now - m_lastReceived < m_limits.silenceBeforePing)
+        return;
+    m_pingSentAt = now;
+    nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
+    flush();
+}
+
+void peer_session::shutDown()
+{
+    onStrand([](peer_session& self) {
+        self.m_closing = true;
+        nghttp2_submit_goaway(self.m_session, NGHTTP2_FLAG_NONE,
+            nghttp2_session_get_last_proc_stream_id(self.m_session), NGHTTP2_NO_ERROR, nullptr, 0);
+        self.flush();
+    });
+}
+
+void peer_session::close(const std::string&)
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    m_closing = true;
+    m_watchTimer.cancel();
+    asio::error_code ignored;
+    m_stream.lowest_layer().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_stream.lowest_layer().close(ignored);
+    while (!m_streams.empty())
+        streamClosed(m_streams.begin()->first, NGHTTP2_CONNECT_ERROR);
+    m_incoming = nullptr;
+    if (auto closed = std::exchange(m_closedHook, nullptr))
+        closed();
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/messages/src/peer_session.h
@@ -0,0 +1,137 @@
+/** \file
+ * Defines peer_session, one encrypted connection between two nodes that carries exchanges as HTTP/2 streams.
+ */
+#pragma once
+
+#include "exchange.h"
+#include "tls_material.h"
+
+#include <asio.hpp>
+#include <nghttp2/nghttp2.h>
+
+#include <map>
+
+namespace pomelohub {
+
+using tls_stream = asio::ssl::stream<asio::ip::tcp::socket>;
+
+/** Header fields with this prefix are between nodes only; front ends drop them from what callers send. */
+inline constexpr std::string_view internalPrefix = "pomelohub-";
+inline constexpr std::string_view verdictHeader = "pomelohub-verdict";
+inline constexpr std::string_view reasonHeader = "pomelohub-reason";
+inline constexpr std::string_view detailHeader = "pomelohub-detail";
+inline constexpr std::string_view retryAfterHeader = "pomelohub-retry-after-ms";
+inline constexpr std::string_view timeLeftHeader = "pomelohub-time-left-ms";
+
+enum class session_role {
+    client,
+    server,
+};
+
+struct session_limits {
+    std::uint32_t maxStreams = 1000;
+    std::size_t maxHeadBytes = 64 * 1024;
+    duration silenceBeforePing = std::chrono::seconds(1);
+    duration pingTimeout = std::chrono::seconds(1);
+    duration idleBeforeClose = std::chrono::seconds(30);
+};
+
+/** Takes an exchange that the peer began. Called on the session's strand; must not block. */
+using incoming_hook = std::function<void(const handle<exchange>& incoming, const node_id& peer)>;
+
+/** Thread safety: submit() and shutDown() from any thread, all else on the session's strand. */
+class peer_session : public counted<peer_session> {
+public:
+    /** \param stream has completed its handshake; its executor is a strand. */
+    peer_session(tls_stream stream, handle<tls_contexts> contexts, session_role role, node_id peer,
+        session_limits limits, clock_hook clock);
+    ~peer_session();
+    peer_session(const peer_session&) = delete;
+    peer_session& operator=(const peer_session&) = delete;
+
+    /** Starts reading and writing. \param closed is called once, on the strand, when the session has ended. */
+    void start(incoming_hook incoming, std::function<void()> closed);
+
+    /** Sends \p asked to the peer. Precondition: the role is client. */
+    void submit(const handle<exchange>& asked);
+
+    /** Takes no new streams and ends when the present ones have. */
+    void shutDown();
+
+    /** Whether the session has ended, or takes no more streams. */
+    bool isClosing() const { return m_closing.load(); }
+
+private:
+    struct stream_state {
+        handle<exchange> carried;
+        handle<body_pipe> incomingBody;
+        handle<body_pipe> outgoingBody;
+        std::vector<header_field> head;
+        std::size_t headBytes = 0;
+        bool isSent = false; ///< The head may have left this process.
+        bool isAnswered = false;
+        bool isIncomingEnded = false;
+    };
+
+    static int onBeginHeaders(nghttp2_session*, const nghttp2_frame* frame, void* self);
+    static int onHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
+        std::size_t nameLength, const std::uint8_t* value, std::size_t valueLength, std::uint8_t, void* self);
+    static int onFrameReceived(nghttp2_session*, const nghttp2_frame* frame, void* self);
+    static int onFrameSending(nghttp2_session*, const nghttp2_frame* frame, void* self);
+    static int onData(nghttp2_session*, std::uint8_t, std::int32_t streamId, const std::uint8_t* data,
+        std::size_t length, void* self);
+    static int onStreamClosed(
+        nghttp2_session*, std::int32_t streamId, std::uint32_t errorCode, void* self);
+    static ssize_t onReadBody(nghttp2_session*, std::int32_t streamId, std::uint8_t* buffer,
+        std::size_t length, std::uint32_t* flags, nghttp2_data_source* source, void* self);
+
+    void makeSession();
+    void sendSettings();
+    stream_state* find(std::int32_t streamId);
+    int takeHeader(std::int32_t streamId, std::string name, std::string value);
+    void headComplete(std::int32_t streamId, bool endsStream);
+    void beginIncoming(std::int32_t streamId);
+    void takeAnswer(std::int32_t streamId);
+    void answerIncoming(std::int32_t streamId);
+    void connectBodies(std::int32_t streamId);
+    void submitNow(const handle<exchange>& asked);
+    void streamClosed(std::int32_t streamId, std::uint32_t errorCode);
+    verdict lostStreamVerdict(const stream_state& stream, std::uint32_t errorCode) const;
+
+    void read();
+    void flush();
+    void write();
+    void watch();
+    void checkSilence(instant now);
+    void close(const std::string& why);
+    void onStrand(std::function<void(peer_session&)> action);
+
+    tls_stream m_stream;
+    handle<tls_contexts> m_contexts;
+    session_role m_role;
+    node_id m_peer;
+    session_limits m_limits;
+    clock_hook m_clock;
+    incoming_hook m_incoming;
+    std::function<void()> m_closedHook;
+    nghttp2_session* m_session = nullptr;
+    std::map<std::int32_t, stream_state> m_streams;
+    std::array<char, 32 * 1024> m_input;
+    std::string m_output;
+    std::string m_writing;
+    bool m_isWriting = false;
+    bool m_isClosed = false;
+    std::atomic<bool> m_closing { false };
+    asio::steady_timer m_watchTimer;
+    instant m_lastReceived {};
+    instant m_lastActive {};
+    instant m_pingSentAt {};
+};
+
+/** The header fields that carry \p why between nodes. */
+std::vector<header_field> toHeaders(const verdict& why);
+
+/** The verdict in \p headers, or nothing when they carry none. */
+std::optional<verdict> verdictFromHeaders(const std::vector<header_field>& headers);
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/messages/src/slot_codec.cpp
@@ -0,0 +1,62 @@
+#include "slot_codec.h"
+
+namespace pomelohub {
+
+using nlohmann::json;
+
+static constexpr std::array<std::string_view, 4> changeTexts { "claim", "release", "join", "restate" };
+
+std::string encodeFleetRecord(const fleet_record& record)
+{
+    const auto& slots = record.slots;
+    json value { { "change", changeTexts.at(static_cast<std::size_t>(slots.change)) },
+        { "node", slots.by.node.text() }, { "life", slots.by.life }, { "data_centre", record.dataCentre.text() },
+        { "endpoint", record.endpoint } };
+    auto pairs = json::array();
+    for (std::size_t i = 0; i < slots.slots.size(); ++i)
+        pairs.push_back({ slots.slots[i], slots.terms[i] });
+    value["slots"] = std::move(pairs);
+    return value.dump();
+}
+
+static void readSlots(checked_document& document, const json& pairs, slot_record& slots)
+{
+    for (const auto& pair : pairs) {
+        bool isPair = pair.is_array() && pair.size() == 2 && pair[0].is_number_unsigned()
+            && pair[1].is_number_unsigned();
+        if (!isPair || pair[0] >= slotCount) {
+            document.fail("/slots", "must hold pairs of a slot and a term");
+            return;
+        }
+        slots.slots.push_back(pair[0]);
+        slots.terms.push_back(pair[1]);
+    }
+}
+
+std::optional<fleet_record> decodeFleetRecord(const std::string& text, std::vector<field_error>& errors)
+{
+    auto document = checked_document::parse(text);
+    checked_object object(document, document.root(), "");
+    fleet_record record;
+    if (object.isObject()) {
+        auto change = object.text("change");
+        auto found = std::find(changeTexts.begin(), changeTexts.end(), change);
+        if (found == changeTexts.end())
+            object.fail("change", "is not a change of slots");
+        else
+            record.slots.change = static_cast<slot_change>(found - changeTexts.begin());
+        record.slots.by.node = node_id(object.text("node"));
+        record.slots.by.life = static_cast<incarnation>(object.integer("life", { 0, 9e15 }));
+        record.dataCentre = data_centre_id(object.text("data_centre", false));
+        record.endpoint = object.text("endpoint", false);
+        const auto& root = document.root();
+        if (root.contains("slots") && root["slots"].is_array())
+            readSlots(document, root["slots"], record.slots);
+        else
+            object.fail("slots", "must be an array");
+    }
+    errors = document.errors();
+    return errors.empty() ? std::optional(std::move(record)) : std::nullopt;
+}
+
+} // namespace pomelohub
