--- a/packages/decisions/src/configuration_table.cpp
+++ b/packages/decisions/src/configuration_table.cpp
@@ -53,13 +53,18 @@
 
 void configuration_table::forEach(const std::function<void(const stored_resource&)>& use) const
 {
-    for (const auto& cell : m_byName) {
-        auto present = cell.load();
-        if (!present)
-            continue;
-        for (const auto& [name, stored] : present->entries)
-            use(*stored);
-    }
+    for (std::size_t shard = 0; shard < shardCount; ++shard)
+        forEachIn(shard, use);
+}
+
+void configuration_table::forEachIn(
+    std::size_t shard, const std::function<void(const stored_resource&)>& use) const
+{
+    auto present = m_byName.at(shard).load();
+    if (!present)
+        return;
+    for (const auto& [name, stored] : present->entries)
+        use(*stored);
 }
 
 configuration_batch::configuration_batch(configuration_table& table)
--- a/packages/decisions/src/configuration_table.h
+++ b/packages/decisions/src/configuration_table.h
@@ -37,6 +37,9 @@
      * meanwhile may be seen in part. */
     void forEach(const std::function<void(const stored_resource&)>& use) const;
 
+    /** The same for the resources of one shard. Precondition: \p shard is below shardCount. */
+    void forEachIn(std::size_t shard, const std::function<void(const stored_resource&)>& use) const;
+
 private:
     friend class configuration_batch;
 
--- a/packages/decisions/src/confirmation_controller.cpp
+++ b/packages/decisions/src/confirmation_controller.cpp
@@ -8,17 +8,17 @@
 namespace pomelohub {
 
 const member_record* confirmation_controller::reporterOf(
-    const data_centre_id& dataCentre, const std::vector<member_record>& members)
+    const data_centre_id& dataCentre, member_list members)
 {
     static const auto item = stableHash("reporter");
     const member_record* best = nullptr;
     std::uint64_t bestWeight = 0;
-    for (const auto& member : members) {
-        if (member.dataCentre != dataCentre || !isPresent(member.status))
+    for (const auto* member : members) {
+        if (member->dataCentre != dataCentre || !isPresent(member->status))
             continue;
-        auto weight = rendezvousWeight(member.life.node.text(), item);
+        auto weight = rendezvousWeight(member->life.node.text(), item);
         if (!best || weight > bestWeight) {
-            best = &member;
+            best = member;
             bestWeight = weight;
         }
     }
@@ -31,35 +31,35 @@
     known = std::max(known, offset);
 }
 
-void confirmation_controller::retain(const std::vector<member_record>& members)
+void confirmation_controller::retain(member_list members)
 {
     std::set<node_life> present;
-    for (const auto& member : members) {
-        if (isPresent(member.status))
-            present.insert(member.life);
+    for (const auto* member : members) {
+        if (isPresent(member->status))
+            present.insert(member->life);
     }
     std::erase_if(m_offsets, [&](const auto& entry) { return !present.contains(entry.first); });
 }
 
 std::uint64_t confirmation_controller::confirmedIn(
-    const data_centre_id& dataCentre, const std::vector<member_record>& members) const
+    const data_centre_id& dataCentre, member_list members) const
 {
     auto lowest = UINT64_MAX;
-    for (const auto& member : members) {
-        if (member.dataCentre != dataCentre || !isPresent(member.status))
+    for (const auto* member : members) {
+        if (member->dataCentre != dataCentre || !isPresent(member->status))
             continue;
-        auto found = m_offsets.find(member.life);
+        auto found = m_offsets.find(member->life);
         lowest = std::min(lowest, found == m_offsets.end() ? 0 : found->second);
     }
     return lowest == UINT64_MAX ? 0 : lowest;
 }
 
-std::uint64_t confirmation_controller::inForce(const std::vector<member_record>& members)
+std::uint64_t confirmation_controller::inForce(member_list members)
 {
     std::set<data_centre_id> dataCentres;
-    for (const auto& member : members) {
-        if (isPresent(member.status))
-            dataCentres.insert(member.dataCentre);
+    for (const auto* member : members) {
+        if (isPresent(member->status))
+            dataCentres.insert(member->dataCentre);
     }
     auto lowest = UINT64_MAX;
     for (const auto& dataCentre : dataCentres)
--- a/packages/decisions/src/fleet_view.h
+++ b/packages/decisions/src/fleet_view.h
@@ -50,9 +50,15 @@
     handle<backend_stats> stats;
 };
 
+/** Whether a service had requests at this node of late. */
+struct service_activity : counted<service_activity> {
+    std::atomic<bool> hasRequests { false };
+};
+
 /** The backend servers of one service. */
 struct service_view : counted<service_view> {
     std::vector<backend_entry> backends;
+    handle<service_activity> activity;
 };
 
 /** The backend servers of every service. */
--- a/packages/decisions/src/membership.cpp
+++ b/packages/decisions/src/membership.cpp
@@ -315,11 +315,11 @@
     return out;
 }
 
-std::vector<member_record> membership::all() const
+std::vector<const member_record*> membership::all() const
 {
-    std::vector<member_record> records { m_self };
+    std::vector<const member_record*> records { &m_self };
     for (const auto& [node, record] : m_others)
-        records.push_back(record);
+        records.push_back(&record);
     return records;
 }
 
--- a/packages/decisions/src/membership.h
+++ b/packages/decisions/src/membership.h
@@ -117,8 +117,8 @@
     const member_record& self() const { return m_self; }
     const std::map<node_id, member_record>& others() const { return m_others; }
 
-    /** All records with the own one, for a full exchange. */
-    std::vector<member_record> all() const;
+    /** All records with the own one. The pointers hold until the next change. */
+    std::vector<const member_record*> all() const;
 
     /** Live members with this node. */
     std::size_t liveCount() const;
--- a/packages/decisions/src/rate_ledger.cpp
+++ b/packages/decisions/src/rate_ledger.cpp
@@ -37,7 +37,7 @@
         return {};
     auto tokens = std::min(static_cast<std::uint32_t>(bucket.level), request.wanted);
     if (tokens == 0)
-        return {};
+        return { 0, 0, timeToToken(bucket) };
     bucket.level -= tokens;
     auto id = ++m_lastGrant;
     auto expires = now + m_lifetime * (1000 + m_clockRateError) / 1000;
@@ -45,6 +45,12 @@
     return { id, tokens, m_lifetime };
 }
 
+std::chrono::milliseconds rate_ledger::timeToToken(const bucket& bucket)
+{
+    auto seconds = std::max(0.0, 1 - bucket.level) / bucket.share.tokensPerSecond;
+    return std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+}
+
 rate_ledger::bucket& rate_ledger::bucketFor(const rate_part& part, const rate_share& share, instant now)
 {
     auto [found, isNew] = m_buckets.try_emplace(bucketName(part));
--- a/packages/decisions/src/rate_ledger.h
+++ b/packages/decisions/src/rate_ledger.h
@@ -45,11 +45,11 @@
     std::uint32_t wanted = 0;
 };
 
-/** The answer: \p tokens may be spent for \p lifetime, counted from before the request was sent. */
+/** The answer: tokens that may be spent for a time, counted from before the request was sent. */
 struct rate_grant {
     std::uint64_t id = 0;
     std::uint32_t tokens = 0;
-    std::chrono::milliseconds lifetime { 0 };
+    std::chrono::milliseconds lifetime { 0 }; ///< Without tokens: when the next one is due.
 };
 
 /** The buckets of the slots that this node holds. Precondition of every call: the caller checked at the
@@ -88,6 +88,7 @@
     };
 
     bucket& bucketFor(const rate_part& part, const rate_share& share, instant now);
+    static std::chrono::milliseconds timeToToken(const bucket& bucket);
     static void settle(bucket& bucket, const rate_request& request);
     static void accrue(bucket& bucket, instant now);
 
--- a/packages/decisions/src/slot_controller.cpp
+++ b/packages/decisions/src/slot_controller.cpp
@@ -15,17 +15,12 @@
         record.terms.push_back(term);
     }
 
-    bool isAlive(const node_life& life, std::span<const slot_candidate> members)
-    {
-        return std::any_of(members.begin(), members.end(),
-            [&](const slot_candidate& member) { return member.alive && member.life == life; });
-    }
-
 } // namespace
 
 slot_controller::slot_controller(node_life self, slot_policy policy)
     : m_self(std::move(self))
     , m_policy(policy)
+    , m_preferred(slotCount)
     , m_usableFrom(slotCount)
     , m_preferredSince(slotCount, instant::max())
 {
@@ -49,32 +44,31 @@
 
 void slot_controller::noteEvidence(instant when) { m_lastEvidence = std::max(m_lastEvidence, when); }
 
-const node_life* slot_controller::preferred(
-    slot_index slot, std::span<const slot_candidate> members) const
+void slot_controller::setMembers(std::span<const slot_candidate> members)
 {
-    const node_life* best = nullptr;
-    std::uint64_t bestWeight = 0;
+    m_alive.clear();
+    std::vector<std::uint64_t> bestWeights(slotCount);
+    for (auto& preferred : m_preferred)
+        preferred.reset();
     for (const auto& member : members) {
-        auto weight = rendezvousWeight(member.life.node.text(), slot);
-        if (member.alive && (!best || weight > bestWeight)) {
-            best = &member.life;
-            bestWeight = weight;
+        if (!member.alive)
+            continue;
+        m_alive.insert(member.life);
+        for (slot_index slot = 0; slot < slotCount; ++slot) {
+            auto weight = rendezvousWeight(member.life.node.text(), slot);
+            if (m_preferred[slot] && weight <= bestWeights[slot])
+                continue;
+            m_preferred[slot] = member.life;
+            bestWeights[slot] = weight;
         }
     }
-    return best;
 }
 
-bool slot_controller::isHolderGone(
-    const slot_state& state, std::span<const slot_candidate> members) const
-{
-    return !state.holder || !isAlive(*state.holder, members);
-}
+bool slot_controller::isAlive(const node_life& life) const { return m_alive.contains(life); }
 
-bool slot_controller::wantsClaim(
-    slot_index slot, std::span<const slot_candidate> members, instant now)
+bool slot_controller::wantsClaim(slot_index slot, instant now)
 {
-    const auto* best = preferred(slot, members);
-    if (!best || *best != m_self) {
+    if (m_preferred[slot] != m_self) {
         m_preferredSince[slot] = instant::max();
         return false;
     }
@@ -82,13 +76,14 @@
     const auto& state = m_table.at(slot);
     if (state.holder == m_self || state.claimant == m_self)
         return false;
-    return isHolderGone(state, members) || now - m_preferredSince[slot] >= m_policy.settleTime;
+    bool isHolderGone = !state.holder || !isAlive(*state.holder);
+    return isHolderGone || now - m_preferredSince[slot] >= m_policy.settleTime;
 }
 
-bool slot_controller::mustRelease(slot_index slot, std::span<const slot_candidate> members) const
+bool slot_controller::mustRelease(slot_index slot) const
 {
     const auto& state = m_table.at(slot);
-    return state.holder == m_self && state.claimant && isAlive(*state.claimant, members);
+    return state.holder == m_self && state.claimant && isAlive(*state.claimant);
 }
 
 duration slot_controller::waitForStaleHolder() const
@@ -103,7 +98,7 @@
     return state.claimant == m_self && state.holder && now - state.claimedAt > waitForStaleHolder();
 }
 
-std::vector<slot_record> slot_controller::tick(std::span<const slot_candidate> members, instant now)
+std::vector<slot_record> slot_controller::tick(instant now)
 {
     if (m_leaving)
         return {};
@@ -112,9 +107,9 @@
     std::vector<slot_record> records;
     for (slot_index slot = 0; slot < slotCount; ++slot) {
         const auto& state = m_table.at(slot);
-        if (m_mayClaim && wantsClaim(slot, members, now))
+        if (m_mayClaim && wantsClaim(slot, now))
             addSlot(claims, slot, state.term);
-        if (mustRelease(slot, members))
+        if (mustRelease(slot))
             addSlot(releases, slot, state.term);
         if (hasHolderExpired(slot, now))
             records.push_back({ slot_change::release, *state.holder, { slot }, { state.term } });
@@ -123,19 +118,24 @@
         if (!record->slots.empty())
             records.push_back(std::move(*record));
     }
-    if (now - m_lastRestated >= m_policy.restateInterval) {
-        m_lastRestated = now;
-        slot_record restated { slot_change::restate, m_self, {}, {} };
-        for (slot_index slot = 0; slot < slotCount; ++slot) {
-            if (m_table.at(slot).holder == m_self)
-                addSlot(restated, slot, m_table.at(slot).term);
-        }
-        if (!restated.slots.empty())
-            records.push_back(std::move(restated));
-    }
+    restate(records, now);
     return records;
 }
 
+void slot_controller::restate(std::vector<slot_record>& records, instant now)
+{
+    if (now - m_lastRestated < m_policy.restateInterval)
+        return;
+    m_lastRestated = now;
+    slot_record restated { slot_change::restate, m_self, {}, {} };
+    for (slot_index slot = 0; slot < slotCount; ++slot) {
+        if (m_table.at(slot).holder == m_self)
+            addSlot(restated, slot, m_table.at(slot).term);
+    }
+    if (!restated.slots.empty())
+        records.push_back(std::move(restated));
+}
+
 std::vector<slot_record> slot_controller::leave()
 {
     m_leaving = true;
--- a/packages/decisions/src/slot_controller.h
+++ b/packages/decisions/src/slot_controller.h
@@ -5,6 +5,7 @@
 
 #include "slot_table.h"
 
+#include <set>
 #include <span>
 
 namespace pomelohub {
@@ -45,8 +46,11 @@
      * the log still has the first record. */
     void allowClaims() { m_mayClaim = true; }
 
+    /** Takes in who could hold slots. Call it when that changed, for it ranks the members of every slot. */
+    void setMembers(std::span<const slot_candidate> members);
+
     /** The records that this node should append now. */
-    std::vector<slot_record> tick(std::span<const slot_candidate> members, instant now);
+    std::vector<slot_record> tick(instant now);
 
     /** The records by which a leaving node gives up its slots. */
     std::vector<slot_record> leave();
@@ -61,12 +65,12 @@
     instant lastEvidence() const { return m_lastEvidence; }
 
 private:
-    bool isHolderGone(const slot_state& state, std::span<const slot_candidate> members) const;
-    bool wantsClaim(slot_index slot, std::span<const slot_candidate> members, instant now);
-    bool mustRelease(slot_index slot, std::span<const slot_candidate> members) const;
+    bool isAlive(const node_life& life) const;
+    bool wantsClaim(slot_index slot, instant now);
+    bool mustRelease(slot_index slot) const;
     bool hasHolderExpired(slot_index slot, instant now) const;
+    void restate(std::vector<slot_record>& records, instant now);
     duration waitForStaleHolder() const;
-    const node_life* preferred(slot_index slot, std::span<const slot_candidate> members) const;
 
     node_life m_self;
     slot_policy m_policy;
@@ -75,6 +79,8 @@
     bool m_leaving = false;
     instant m_lastEvidence {};
     instant m_lastRestated {};
+    std::set<node_life> m_alive;
+    std::vector<std::optional<node_life>> m_preferred;
     std::vector<instant> m_usableFrom;
     std::vector<instant> m_preferredSince;
 };
--- a/packages/decisions/src/token_leases.cpp
+++ b/packages/decisions/src/token_leases.cpp
@@ -10,6 +10,10 @@
     constexpr unsigned tokenBits = 22;
     constexpr std::uint64_t tokenMask = (std::uint64_t { 1 } << tokenBits) - 1;
 
+    /** Bounds of how long a part without tokens is left alone. */
+    constexpr std::chrono::milliseconds shortestDryTime { 10 };
+    constexpr std::chrono::milliseconds longestDryTime { 500 };
+
     std::uint64_t toMillis(instant time)
     {
         return static_cast<std::uint64_t>(
@@ -45,6 +49,25 @@
     return spendable(m_word.load(std::memory_order_relaxed), now);
 }
 
+std::uint64_t arrival_count::value() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_value;
+}
+
+void arrival_count::note()
+{
+    std::lock_guard lock(m_mutex);
+    ++m_value;
+    m_changed.notify_all();
+}
+
+bool arrival_count::waitBeyond(std::uint64_t seen, instant deadline) const
+{
+    std::unique_lock lock(m_mutex);
+    return m_changed.wait_until(lock, deadline, [&] { return m_value != seen; });
+}
+
 handle<organisation_leases> token_leases::of(const organisation_id& organisation)
 {
     auto& cell = m_shards[std::hash<organisation_id> {}(organisation) % shardCount];
@@ -111,18 +134,30 @@
     return false;
 }
 
-std::optional<rate_request> refillRequest(
-    organisation_leases& leases, const node_life& self, instant now)
+bool isAsking(const organisation_leases& leases)
+{
+    return std::any_of(leases.asking.begin(), leases.asking.end(),
+        [](const std::atomic<bool>& asking) { return asking.load(); });
+}
+
+std::uint32_t availableTokens(const organisation_leases& leases, instant now)
 {
     std::uint32_t available = 0;
     for (const auto& lease : leases.parts)
         available += lease.available(now);
+    return available;
+}
+
+std::optional<rate_request> refillRequest(
+    organisation_leases& leases, const node_life& self, instant now)
+{
+    auto available = availableTokens(leases, now);
     auto demand = std::max({ 1U, leases.spentInWindow.load(), leases.spentBefore.load() });
     if (available >= demand)
         return std::nullopt;
     for (std::uint32_t i = 0; i < rateParts; ++i) {
         auto part = leases.nextPart.fetch_add(1) % rateParts;
-        if (leases.asking[part].exchange(true))
+        if (leases.dryUntil[part].load() > now || leases.asking[part].exchange(true))
             continue;
         auto unspent = leases.parts[part].replace(0, now);
         auto settles = leases.grants[part].exchange(0);
@@ -137,7 +172,10 @@
 {
     leases.grants[part] = grant.id;
     leases.parts[part].replace(grant.tokens, asked + grant.lifetime);
+    if (grant.tokens == 0)
+        leases.dryUntil[part] = asked + std::clamp(grant.lifetime, shortestDryTime, longestDryTime);
     leases.asking[part] = false;
+    leases.arrivals.note();
 }
 
 } // namespace pomelohub
--- a/packages/decisions/src/token_leases.h
+++ b/packages/decisions/src/token_leases.h
@@ -6,6 +6,8 @@
 
 #include "rate_ledger.h"
 
+#include <condition_variable>
+#include <mutex>
 #include <optional>
 
 namespace pomelohub {
@@ -27,12 +29,29 @@
     std::atomic<std::uint64_t> m_word { 0 };
 };
 
+/** Counts events and lets a thread wait for the next one. Thread safety: any thread. */
+class arrival_count {
+public:
+    std::uint64_t value() const;
+    void note();
+
+    /** Waits until the count differs from \p seen. \return false when \p deadline passed first. */
+    bool waitBeyond(std::uint64_t seen, instant deadline) const;
+
+private:
+    mutable std::mutex m_mutex;
+    mutable std::condition_variable m_changed;
+    std::uint64_t m_value = 0;
+};
+
 /** All leases of one organisation at this node, and its recent demand. */
 struct organisation_leases : counted<organisation_leases> {
     organisation_id organisation;
     std::array<token_lease, rateParts> parts;
     std::array<std::atomic<std::uint64_t>, rateParts> grants {}; ///< Identifier of the grant in each lease.
     std::array<std::atomic<bool>, rateParts> asking {}; ///< A question for this part is under way.
+    std::array<std::atomic<instant>, rateParts> dryUntil {}; ///< The authority had no token before then.
+    arrival_count arrivals; ///< Answers of authorities, of all parts.
     std::atomic<std::uint32_t> spentInWindow { 0 };
     std::atomic<std::uint32_t> spentBefore { 0 }; ///< Tokens spent in the window before the present one.
     std::atomic<std::uint32_t> nextPart { 0 };
@@ -72,6 +91,12 @@
  * empty grant when there was none, to takeGrant(). Thread safety: any thread. */
 std::optional<rate_request> refillRequest(organisation_leases& leases, const node_life& self, instant now);
 
+/** Whether any question is under way. Thread safety: any thread. */
+bool isAsking(const organisation_leases& leases);
+
+/** Tokens that can be spent at \p now. Thread safety: any thread. */
+std::uint32_t availableTokens(const organisation_leases& leases, instant now);
+
 /** Puts \p grant into its lease. \param asked when the question was sent. Thread safety: any thread. */
 void takeGrant(organisation_leases& leases, std::uint32_t part, const rate_grant& grant, instant asked);
 
--- a/packages/messages/src/body_pipe.cpp
+++ b/packages/messages/src/body_pipe.cpp
@@ -65,16 +65,42 @@
 {
     auto bytes = std::min(size, m_buffer.size() - m_start);
     std::memcpy(out, m_buffer.data() + m_start, bytes);
+    auto fresh = noteTaken({ out, bytes });
     m_start += bytes;
     if (m_start == m_buffer.size()) {
         m_buffer.clear();
         m_start = 0;
     }
     if (bytes > 0)
-        return { bytes, pipe_state::open };
+        return { bytes, fresh, pipe_state::open };
     if (m_failure)
-        return { 0, pipe_state::failed };
-    return { 0, m_finished ? pipe_state::ended : pipe_state::open };
+        return { 0, 0, pipe_state::failed };
+    return { 0, 0, m_finished ? pipe_state::ended : pipe_state::open };
+}
+
+std::size_t body_pipe::noteTaken(std::string_view bytes)
+{
+    if (m_takenTotal + bytes.size() <= rewindLimit)
+        m_taken.append(bytes);
+    else
+        m_taken = std::string();
+    m_takenTotal += bytes.size();
+    auto fresh = m_takenTotal > m_consumedTotal ? m_takenTotal - m_consumedTotal : 0;
+    m_consumedTotal += fresh;
+    return fresh;
+}
+
+bool body_pipe::rewind()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_takenTotal > rewindLimit)
+        return false;
+    m_buffer = m_taken + m_buffer.substr(m_start);
+    m_start = 0;
+    m_taken.clear();
+    m_takenTotal = 0;
+    m_readerWaits = true;
+    return true;
 }
 
 pipe_read body_pipe::read(char* out, std::size_t size, instant deadline)
@@ -82,11 +108,11 @@
     std::unique_lock lock(m_mutex);
     auto isReady = [&] { return m_start < m_buffer.size() || m_finished || m_failure; };
     if (!m_changed.wait_until(lock, deadline, isReady))
-        return { 0, pipe_state::timedOut };
+        return { 0, 0, pipe_state::timedOut };
     auto result = take(out, size);
     m_changed.notify_all();
     lock.unlock();
-    notifyConsumed(result.bytes);
+    notifyConsumed(result.fresh);
     return result;
 }
 
@@ -98,7 +124,7 @@
         m_readerWaits = true;
     m_changed.notify_all();
     lock.unlock();
-    notifyConsumed(result.bytes);
+    notifyConsumed(result.fresh);
     return result;
 }
 
--- a/packages/messages/src/body_pipe.h
+++ b/packages/messages/src/body_pipe.h
@@ -21,6 +21,7 @@
 
 struct pipe_read {
     std::size_t bytes = 0;
+    std::size_t fresh = 0; ///< Of them, those that were not read before a rewind.
     pipe_state state = pipe_state::open;
 };
 
@@ -29,6 +30,7 @@
 class body_pipe : public counted<body_pipe> {
 public:
     static constexpr std::size_t usualCapacity = 256 * 1024;
+    static constexpr std::size_t rewindLimit = 64 * 1024; ///< Bytes that are kept for rewind().
 
     explicit body_pipe(std::size_t capacity = usualCapacity);
 
@@ -48,6 +50,9 @@
     /** Reads what is there. State open with no bytes means that the readable hook will be called. */
     pipe_read poll(char* out, std::size_t size);
 
+    /** Puts back all that was read, for another reader. \return false when too much was read to be kept. */
+    bool rewind();
+
     /** The reader needs no more. */
     void closeReader();
 
@@ -67,12 +72,16 @@
     pipe_read take(char* out, std::size_t size);
     void notifyReader(std::unique_lock<std::mutex>& lock);
     void notifyConsumed(std::size_t bytes);
+    std::size_t noteTaken(std::string_view bytes);
 
     const std::size_t m_capacity;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::string m_buffer;
     std::size_t m_start = 0;
+    std::string m_taken; ///< What was read, while it is short enough to be kept.
+    std::size_t m_takenTotal = 0; ///< Since the start or the last rewind.
+    std::size_t m_consumedTotal = 0; ///< Reported to the consumed hook.
     bool m_finished = false;
     bool m_readerClosed = false;
     bool m_readerWaits = true;
--- a/packages/messages/src/exchange.cpp
+++ b/packages/messages/src/exchange.cpp
@@ -24,6 +24,21 @@
 {
 }
 
+exchange::exchange(request_head request, const exchange& outer)
+    : m_request(std::move(request))
+    , m_deadline(outer.m_deadline)
+    , m_requestBody(outer.m_requestBody)
+    , m_responseBody(outer.m_responseBody)
+{
+}
+
+handle<exchange> exchange::withOwnAnswer(request_head request, const exchange& outer)
+{
+    handle<exchange> made(new exchange(std::move(request), outer));
+    made->m_responseBody = new body_pipe;
+    return made;
+}
+
 void exchange::settle(result<response_head> response)
 {
     std::function<void()> hook;
@@ -43,9 +58,12 @@
 
 void exchange::refuse(verdict why)
 {
-    // A body that is already on its way is cut; one that never starts is failed too, for its reader.
-    m_responseBody->fail(why);
-    settle(tl::unexpected(std::move(why)));
+    // A body that is on its way is cut. Without a head there is none, and a retry may still fill it.
+    auto present = response();
+    if (present && *present)
+        m_responseBody->fail(why);
+    else
+        settle(tl::unexpected(std::move(why)));
 }
 
 result<response_head> exchange::awaitResponse()
@@ -104,9 +122,9 @@
 
 namespace {
 
-    /** Drains the body of an answer as its parts arrive. */
-    struct answer_collector : counted<answer_collector> {
-        handle<exchange> asked;
+    /** Drains a body as its parts arrive. The pipe's hook holds it until the end. */
+    struct body_collector : counted<body_collector> {
+        handle<body_pipe> pipe;
         std::size_t limit = 0;
         std::string body;
         std::function<void(result<std::string>)> done;
@@ -116,21 +134,19 @@
             if (!done)
                 return;
             auto call = std::exchange(done, nullptr);
-            // The pipe's hook holds this collector, which holds the pipe.
-            auto pipe = std::exchange(asked, nullptr)->responseBodyHandle();
-            pipe->dropHooks();
+            pipe->setReadableHook(nullptr);
             call(std::move(outcome));
         }
         void drain()
         {
             std::array<char, 16 * 1024> buffer;
             for (;;) {
-                auto part = asked->responseBody().poll(buffer.data(), buffer.size());
+                auto part = pipe->poll(buffer.data(), buffer.size());
                 body.append(buffer.data(), part.bytes);
                 if (body.size() > limit)
-                    return end(mayHaveRun(refusal_reason::pathFailed, "the answer is too large"));
+                    return end(mayHaveRun(refusal_reason::requestTooLarge, "the body is too large"));
                 if (part.state == pipe_state::failed)
-                    return end(tl::unexpected(asked->responseBody().failure()));
+                    return end(tl::unexpected(pipe->failure()));
                 if (part.state == pipe_state::ended)
                     return end(std::move(body));
                 if (part.bytes == 0)
@@ -141,20 +157,25 @@
 
 } // namespace
 
-void collectAnswer(
-    const handle<exchange>& asked, std::size_t limit, std::function<void(result<std::string>)> done)
+void collectBody(
+    const handle<body_pipe>& pipe, std::size_t limit, std::function<void(result<std::string>)> done)
 {
-    handle<answer_collector> collector(new answer_collector);
-    collector->asked = asked;
+    handle<body_collector> collector(new body_collector);
+    collector->pipe = pipe;
     collector->limit = limit;
     collector->done = std::move(done);
-    asked->setResponseHook([collector] {
-        auto pipe = collector->asked->responseBodyHandle();
-        auto response = *collector->asked->response();
-        if (!response)
-            return collector->end(tl::unexpected(response.error()));
-        // The hook may run on several threads one after the other; the pipe orders them.
-        pipe->setReadableHook([collector] { collector->drain(); });
+    pipe->setReadableHook([collector] { collector->drain(); });
+}
+
+void collectAnswer(
+    const handle<exchange>& asked, std::size_t limit, std::function<void(result<std::string>)> done)
+{
+    asked->setResponseHook([asked, limit, done = std::move(done)] {
+        auto response = *asked->response();
+        if (response)
+            collectBody(asked->responseBodyHandle(), limit, done);
+        else
+            done(tl::unexpected(response.error()));
     });
 }
 
--- a/packages/messages/src/exchange.h
+++ b/packages/messages/src/exchange.h
@@ -36,6 +36,12 @@
 public:
     exchange(request_head request, instant deadline);
 
+    /** A request that reads the body of \p outer and has an answer of its own. */
+    static handle<exchange> withOwnAnswer(request_head request, const exchange& outer);
+
+    /** Another try of \p outer with \p request as its head. Both share their bodies. */
+    exchange(request_head request, const exchange& outer);
+
     const request_head& request() const { return m_request; }
     instant deadline() const { return m_deadline; }
     body_pipe& requestBody() { return *m_requestBody; }
@@ -80,9 +86,13 @@
     std::function<void()> m_cancelHook;
 };
 
-/** Reads the whole answer of \p asked, up to \p limit bytes, and hands it to \p done on the thread that brings
- * its last part. */
-void collectAnswer(const handle<exchange>& asked, std::size_t limit,
-    std::function<void(result<std::string>)> done);
+/** Reads all of \p pipe, up to \p limit bytes, without blocking, and hands it to \p done on the thread that
+ * brings its last part. Takes over the pipe's readable hook. */
+void collectBody(
+    const handle<body_pipe>& pipe, std::size_t limit, std::function<void(result<std::string>)> done);
+
+/** The same for the answer of \p asked, once its head is there. */
+void collectAnswer(
+    const handle<exchange>& asked, std::size_t limit, std::function<void(result<std::string>)> done);
 
 } // namespace pomelohub
--- a/packages/messages/src/peer_client.cpp
+++ b/packages/messages/src/peer_client.cpp
@@ -1,6 +1,6 @@
 #include "peer_client.h"
 
-#include <charconv>
+#include "parse_number.h"
 
 namespace pomelohub {
 
@@ -77,12 +77,8 @@
     auto colon = text.rfind(':');
     if (colon == std::string::npos || colon == 0)
         return std::nullopt;
-    std::uint16_t port = 0;
-    const auto* end = text.data() + text.size();
-    auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-    if (error != std::errc() || stop != end)
-        return std::nullopt;
-    return std::pair(text.substr(0, colon), port);
+    auto port = parseNumber<std::uint16_t>(std::string_view(text).substr(colon + 1));
+    return port ? std::optional(std::pair(text.substr(0, colon), *port)) : std::nullopt;
 }
 
 peer_client::peer_client(asio::io_context& io, const rcu_cell<tls_contexts>& contexts, session_limits limits,
--- a/packages/messages/src/peer_session.cpp
+++ b/packages/messages/src/peer_session.cpp
@@ -1,6 +1,6 @@
 #include "peer_session.h"
 
-#include <charconv>
+#include "parse_number.h"
 
 namespace pomelohub {
 
@@ -28,15 +28,6 @@
         return fields;
     }
 
-    std::optional<std::int64_t> toNumber(const std::string& text)
-    {
-        std::int64_t number = 0;
-        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-        if (error != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return number;
-    }
-
     peer_session& sessionOf(void* self) { return *static_cast<peer_session*>(self); }
 
 } // namespace
@@ -55,7 +46,7 @@
     auto reason = refusalReasonFromText(headerValue(headers, reasonHeader).value_or(""));
     if (!outcome || !reason)
         return std::nullopt;
-    auto retryAfter = toNumber(headerValue(headers, retryAfterHeader).value_or("0")).value_or(0);
+    auto retryAfter = parseNumber<std::int64_t>(headerValue(headers, retryAfterHeader).value_or("0")).value_or(0);
     return verdict { *outcome, *reason, headerValue(headers, detailHeader).value_or(""),
         std::chrono::milliseconds(retryAfter) };
 }
@@ -257,7 +248,7 @@
     request_head head;
     head.method = headerValue(stream->head, ":method").value_or("");
     head.path = headerValue(stream->head, ":path").value_or("");
-    auto left = toNumber(headerValue(stream->head, timeLeftHeader).value_or("")).value_or(0);
+    auto left = parseNumber<std::int64_t>(headerValue(stream->head, timeLeftHeader).value_or("")).value_or(0);
     std::erase_if(stream->head, [](const header_field& field) { return field.first.starts_with(':'); });
     removeHeader(stream->head, timeLeftHeader);
     head.headers = std::move(stream->head);
@@ -299,16 +290,29 @@
     auto* stream = find(streamId);
     stream->isAnswered = true;
     if (auto refusal = verdictFromHeaders(stream->head)) {
-        stream->carried->refuse(*refusal);
+        auto carried = detach(streamId);
+        carried->refuse(*refusal);
         return;
     }
     response_head head;
-    head.status = static_cast<int>(toNumber(headerValue(stream->head, ":status").value_or("")).value_or(0));
+    head.status = static_cast<int>(parseNumber<std::int64_t>(headerValue(stream->head, ":status").value_or("")).value_or(0));
     std::erase_if(stream->head, [](const header_field& field) { return field.first.starts_with(':'); });
     head.headers = std::move(stream->head);
     stream->carried->respond(std::move(head));
 }
 
+handle<exchange> peer_session::detach(std::int32_t streamId)
+{
+    // Another try may take the bodies over as soon as the refusal is known.
+    auto node = m_streams.extract(streamId);
+    auto& stream = node.mapped();
+    stream.outgoingBody->dropHooks();
+    stream.incomingBody->dropHooks();
+    stream.carried->setCancelHook(nullptr);
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, streamId, NGHTTP2_CANCEL);
+    return stream.carried;
+}
+
 int peer_session::onFrameSending(nghttp2_session*, const nghttp2_frame* frame, void* self)
 {
     if (frame->hd.type != NGHTTP2_HEADERS)
--- a/packages/messages/src/peer_session.h
+++ b/packages/messages/src/peer_session.h
@@ -92,6 +92,7 @@
     void headComplete(std::int32_t streamId, bool endsStream);
     void beginIncoming(std::int32_t streamId);
     void takeAnswer(std::int32_t streamId);
+    handle<exchange> detach(std::int32_t streamId);
     void answerIncoming(std::int32_t streamId);
     void connectBodies(std::int32_t streamId);
     void submitNow(const handle<exchange>& asked);
--- /dev/null
+++ b/packages/node/src/backend_host.cpp
@@ -0,0 +1,224 @@
+#include "backend_host.h"
+
+namespace pomelohub {
+
+namespace {
+
+    constexpr std::string_view organisationHeader = "pomelohub-organisation";
+    constexpr std::string_view requestIdHeader = "x-request-id";
+
+    std::string subjectOf(const exchange& carried)
+    {
+        return headerValue(carried.request().headers, requestIdHeader).value_or("-");
+    }
+
+} // namespace
+
+backend_host::backend_host(
+    asio::io_context& io, std::size_t threads, host_settings settings, host_hooks hooks)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_chain(makeAdmissionChain(m_hooks.facts))
+    , m_strand(asio::make_strand(io))
+    , m_workers(threads)
+{
+}
+
+void backend_host::announce(const backend_announcement& announcement)
+{
+    asio::post(m_strand, [self = handle<backend_host>(this), announcement] {
+        self->announceNow(announcement);
+    });
+}
+
+void backend_host::announceNow(const backend_announcement& announcement)
+{
+    auto now = m_hooks.clock();
+    auto& hosted = m_backends[announcement.backend.id];
+    bool isOther = !hosted || hosted->address != announcement.address
+        || hosted->info.slots != announcement.backend.slots
+        || hosted->info.service != announcement.backend.service;
+    if (isOther)
+        hosted = new hosted_backend(announcement, m_settings);
+    hosted->lastAnnounced = now.monotonic;
+    if (!isOther && hosted->info.condition == announcement.backend.condition)
+        return;
+    hosted->info.condition = announcement.backend.condition;
+    hosted->gate.setCondition(hosted->info.condition);
+    m_hooks.decided({ now.wall, hosted->info.id.text(), "announce",
+        std::string(toText(hosted->info.condition)), "limit " + std::to_string(hosted->gate.limit()) });
+    if (hosted->info.condition == backend_condition::draining)
+        refuseWaiting(*hosted);
+    publish();
+}
+
+void backend_host::refuseWaiting(hosted_backend& backend)
+{
+    auto refuseOne = [this](const handle<queued_request>& item) {
+        --m_busy;
+        auto carried = static_cast<waiting_exchange&>(*item).carried;
+        carried->setCancelHook(nullptr);
+        refuse(carried,
+            { execution::notRun, refusal_reason::backendServerDraining, "the backend server is draining", {} });
+    };
+    // No deadline lies after the end of time, so every request counts as expired.
+    backend.queue.pop(instant::max(), refuseOne);
+    updateLoad(backend);
+}
+
+void backend_host::withdraw(const backend_server_id& id)
+{
+    asio::post(m_strand, [self = handle<backend_host>(this), id] {
+        if (self->m_backends.erase(id) > 0)
+            self->publish();
+    });
+}
+
+void backend_host::tick()
+{
+    asio::post(m_strand, [self = handle<backend_host>(this)] {
+        auto now = self->m_hooks.clock();
+        auto dropped = std::erase_if(self->m_backends, [&](const auto& entry) {
+            return now.monotonic - entry.second->lastAnnounced > self->m_settings.announcementLifetime;
+        });
+        if (dropped > 0)
+            self->publish();
+    });
+}
+
+void backend_host::publish()
+{
+    std::vector<announced_backend> announced;
+    for (const auto& [id, hosted] : m_backends)
+        announced.push_back(hosted->info);
+    m_hooks.changed(std::move(announced));
+}
+
+void backend_host::submit(const handle<exchange>& carried, const backend_server_id& id)
+{
+    asio::post(
+        m_strand, [self = handle<backend_host>(this), carried, id] { self->admit(carried, id); });
+}
+
+void backend_host::refuse(const handle<exchange>& carried, verdict why)
+{
+    m_hooks.decided({ m_hooks.clock().wall, subjectOf(*carried), "admission", "refused",
+        std::string(toText(why.reason)) + ": " + why.detail });
+    carried->refuse(std::move(why));
+}
+
+void backend_host::admit(const handle<exchange>& carried, const backend_server_id& id)
+{
+    auto found = m_backends.find(id);
+    if (found == m_backends.end())
+        return refuse(carried,
+            { execution::notRun, refusal_reason::noBackendServer, id.text() + " is not beside this node", {} });
+    auto backend = found->second;
+    admission_context context { request_id(subjectOf(*carried)),
+        organisation_id(headerValue(carried->request().headers, organisationHeader).value_or("")),
+        carried->deadline(), backend->info.condition };
+    std::string_view refusedBy;
+    auto admitted = m_chain.run(context, m_hooks.clock(), refusedBy);
+    if (!admitted)
+        return refuse(carried, admitted.error());
+    enqueue(backend, carried, context);
+    pump(backend);
+}
+
+void backend_host::enqueue(const handle<hosted_backend>& backend, const handle<exchange>& carried,
+    const admission_context& context)
+{
+    handle<waiting_exchange> item(new waiting_exchange);
+    item->organisation = context.organisation;
+    item->deadline = context.deadline;
+    item->carried = carried;
+    item->backend = backend;
+    ++m_busy;
+    carried->setCancelHook([self = handle<backend_host>(this), item] {
+        asio::post(self->m_strand, [self, item] {
+            if (!item->backend->queue.remove(*item))
+                return;
+            --self->m_busy;
+            item->carried->refuse(
+                { execution::notRun, refusal_reason::cancelled, "the caller gave up", {} });
+        });
+    });
+    auto crowdedOut = backend->queue.push(item);
+    if (!crowdedOut)
+        return;
+    --m_busy;
+    auto& other = static_cast<waiting_exchange&>(*crowdedOut);
+    other.carried->setCancelHook(nullptr);
+    refuse(other.carried,
+        { execution::notRun, refusal_reason::backendServerBusy, "the queue is full",
+            std::chrono::milliseconds(1000) });
+}
+
+void backend_host::pump(const handle<hosted_backend>& backend)
+{
+    auto expired = [this](const handle<queued_request>& item) {
+        --m_busy;
+        refuse(static_cast<waiting_exchange&>(*item).carried,
+            { execution::notRun, refusal_reason::deadlineExceeded, "the deadline passed in the queue", {} });
+    };
+    while (backend->gate.tryAcquire()) {
+        auto next = backend->queue.pop(m_hooks.clock().monotonic, expired);
+        if (!next) {
+            backend->gate.releaseUnused();
+            break;
+        }
+        auto carried = static_cast<waiting_exchange&>(*next).carried;
+        carried->setCancelHook(nullptr);
+        if (carried->isCancelled()) {
+            --m_busy;
+            backend->gate.releaseUnused();
+            carried->refuse({ execution::notRun, refusal_reason::cancelled, "the caller gave up", {} });
+            continue;
+        }
+        run(backend, carried);
+    }
+    updateLoad(*backend);
+}
+
+void backend_host::run(const handle<hosted_backend>& backend, const handle<exchange>& carried)
+{
+    handle<backend_connection> connection;
+    if (!backend->idle.empty()) {
+        connection = backend->idle.back();
+        backend->idle.pop_back();
+    } else {
+        connection = new backend_connection(backend->address);
+    }
+    m_hooks.decided({ m_hooks.clock().wall, subjectOf(*carried), "admission", "admitted",
+        backend->info.id.text() + " " + std::to_string(backend->gate.inUse()) + "/"
+            + std::to_string(backend->gate.limit()) });
+    asio::post(m_workers, [self = handle<backend_host>(this), backend, carried, connection] {
+        host_report report { [backend] { return backend->load.load(); } };
+        auto end = runBackendCall(connection, carried, report, self->m_hooks.clock);
+        asio::post(self->m_strand,
+            [self, backend, connection, end] { self->ended(backend, connection, end); });
+    });
+}
+
+void backend_host::ended(const handle<hosted_backend>& backend,
+    const handle<backend_connection>& connection, const call_end& end)
+{
+    --m_busy;
+    auto limitBefore = backend->gate.limit();
+    backend->gate.release(end.sample);
+    if (backend->gate.limit() != limitBefore)
+        m_hooks.decided({ m_hooks.clock().wall, backend->info.id.text(), "gate",
+            "limit " + std::to_string(backend->gate.limit()),
+            backend->gate.limit() < limitBefore ? "bad answers in a row" : "good answers" });
+    if (end.isReusable)
+        backend->idle.push_back(connection);
+    pump(backend);
+}
+
+void backend_host::updateLoad(hosted_backend& backend)
+{
+    auto work = backend.gate.inUse() + backend.queue.size();
+    backend.load = static_cast<std::uint32_t>(work * 1000 / std::max(1U, backend.gate.limit()));
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/backend_registry.cpp
@@ -0,0 +1,103 @@
+#include "backend_registry.h"
+
+namespace pomelohub {
+
+/** Rounds without requests after which a service is no longer judged: until its windows are empty. */
+static constexpr int idleRoundsToRest = 40;
+
+void backend_registry::removeAllOf(const node_id& node)
+{
+    auto found = m_announced.find(node);
+    if (found == m_announced.end())
+        return;
+    for (const auto& backend : found->second) {
+        m_services[backend.service].backends.erase(backend.id);
+        m_dirty.insert(backend.service);
+    }
+    m_announced.erase(found);
+}
+
+void backend_registry::update(const member_record& member)
+{
+    bool isLive = isPresent(member.status);
+    auto found = m_announced.find(member.life.node);
+    if (isLive && found != m_announced.end() && found->second == member.backends)
+        return;
+    removeAllOf(member.life.node);
+    if (!isLive)
+        return;
+    for (const auto& backend : member.backends) {
+        auto& stats = m_stats[backend.id];
+        if (!stats)
+            stats = new backend_stats;
+        m_services[backend.service].backends[backend.id] = { backend.id, backend.service, member.life.node,
+            member.dataCentre, backend.slots, backend.condition, stats };
+        m_dirty.insert(backend.service);
+    }
+    m_announced[member.life.node] = member.backends;
+}
+
+handle<const service_view> backend_registry::makeView(const service_state& state) const
+{
+    handle<service_view> view(new service_view);
+    for (const auto& [id, entry] : state.backends)
+        view->backends.push_back(entry);
+    view->activity = state.activity;
+    return view;
+}
+
+void backend_registry::publish()
+{
+    if (m_dirty.empty())
+        return;
+    auto present = m_view.load();
+    handle<fleet_view> next(present ? new fleet_view(*present) : new fleet_view);
+    for (const auto& service : m_dirty) {
+        auto& state = m_services[service];
+        if (!state.activity)
+            state.activity = new service_activity;
+        next->services[service] = makeView(state);
+    }
+    m_dirty.clear();
+    m_view.publish(next);
+}
+
+handle<const service_view> backend_registry::viewOf(const service_id& service) const
+{
+    return m_view.read([&](const fleet_view* view) -> handle<const service_view> {
+        if (!view)
+            return nullptr;
+        auto found = view->services.find(service);
+        return found == view->services.end() ? nullptr : found->second;
+    });
+}
+
+void backend_registry::forEachActive(
+    const std::function<void(const service_id&, const service_view&)>& use)
+{
+    auto view = m_view.load();
+    if (!view)
+        return;
+    for (auto& [service, state] : m_services) {
+        if (!state.activity)
+            continue;
+        state.idleRounds = state.activity->hasRequests.exchange(false) ? 0 : state.idleRounds + 1;
+        if (state.idleRounds > idleRoundsToRest)
+            continue;
+        auto found = view->services.find(service);
+        if (found != view->services.end())
+            use(service, *found->second);
+    }
+}
+
+const backend_entry* backend_registry::find(const backend_server_id& id) const
+{
+    for (const auto& [service, state] : m_services) {
+        auto found = state.backends.find(id);
+        if (found != state.backends.end())
+            return &found->second;
+    }
+    return nullptr;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/caller_front.cpp
@@ -0,0 +1,280 @@
+#include "caller_front.h"
+
+#include "parse_number.h"
+
+#include <algorithm>
+
+namespace pomelohub {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr std::size_t maxRequestIdLength = 64;
+    constexpr std::size_t answerChunk = 32 * 1024;
+    constexpr auto timeoutHeader = "X-Timeout-Ms";
+    constexpr auto requestIdName = "X-Request-Id";
+
+    std::string lowerCase(std::string text)
+    {
+        std::transform(text.begin(), text.end(), text.begin(),
+            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        return text;
+    }
+
+    bool isUsableId(const std::string& text)
+    {
+        return !text.empty() && text.size() <= maxRequestIdLength
+            && std::all_of(text.begin(), text.end(),
+                [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; });
+    }
+
+    std::optional<std::string> bearerToken(const httplib::Request& request)
+    {
+        constexpr std::string_view scheme = "Bearer ";
+        auto value = request.get_header_value("Authorization");
+        if (!value.starts_with(scheme))
+            return std::nullopt;
+        return value.substr(scheme.size());
+    }
+
+    /** Fields that end at this node: hop-by-hop ones, the key, and those between nodes. */
+    bool isLocal(const std::string& name)
+    {
+        static constexpr std::array<std::string_view, 14> names { "authorization", "connection", "expect",
+            "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+            "idempotency-key", "x-request-id", "x-timeout-ms", "remote_addr", "remote_port" };
+        return std::find(names.begin(), names.end(), name) != names.end()
+            || name.starts_with(internalPrefix) || name == "local_addr" || name == "local_port";
+    }
+
+    bool hasBody(const httplib::Request& request)
+    {
+        return request.has_header("Transfer-Encoding")
+            || (request.has_header("Content-Length") && request.get_header_value("Content-Length") != "0");
+    }
+
+} // namespace
+
+/** A request whose answer is being streamed. */
+struct caller_front::served_request : counted<served_request> {
+    request_context context;
+    handle<exchange> outer;
+    instant startedAt {};
+};
+
+caller_front::caller_front(caller_front_parts parts)
+    : m_parts(std::move(parts))
+{
+}
+
+void caller_front::attach(caller_listener& listener)
+{
+    auto plain = [this](const httplib::Request& request, httplib::Response& response) {
+        serve(request, response, nullptr);
+    };
+    auto withBody = [this](const httplib::Request& request, httplib::Response& response,
+                        const httplib::ContentReader& reader) { serve(request, response, &reader); };
+    const std::string any = "[\\s\\S]*";
+    listener.Get(any, plain).Options(any, plain);
+    listener.Post(any, withBody).Put(any, withBody).Patch(any, withBody).Delete(any, withBody);
+}
+
+void caller_front::note(
+    const request_context& context, std::string stage, std::string outcome, std::string reason)
+{
+    m_parts.decided({ m_parts.clock().wall, context.id.text(), std::move(stage), std::move(outcome),
+        std::move(reason) });
+}
+
+void caller_front::readContext(const httplib::Request& request, request_context& context) const
+{
+    auto id = request.get_header_value(requestIdName);
+    if (!isUsableId(id))
+        id = "r" + std::to_string(m_parts.random(UINT64_MAX));
+    context.id = request_id(id);
+    context.method = request.method;
+    auto host = lowerCase(request.get_header_value("Host"));
+    context.host = host.substr(0, host.rfind(':'));
+    context.path = request.target.substr(0, request.target.find('?'));
+    context.key = bearerToken(request);
+    context.idempotencyKey = lowerCase(request.get_header_value("Idempotency-Key"));
+    if (auto timeout = parseNumber<std::int64_t>(request.get_header_value(timeoutHeader)))
+        context.timeout = milliseconds(*timeout);
+    context.contentLength = parseNumber<std::uint64_t>(request.get_header_value("Content-Length"));
+}
+
+void caller_front::serve(const httplib::Request& request, httplib::Response& response,
+    const httplib::ContentReader* reader)
+{
+    auto now = m_parts.clock();
+    handle<served_request> served(new served_request);
+    served->startedAt = now.monotonic;
+    auto& context = served->context;
+    readContext(request, context);
+    std::string_view refusedBy;
+    auto passed = m_parts.chain.run(context, now, refusedBy);
+    if (!passed) {
+        note(context, std::string(refusedBy), "refused", std::string(toText(passed.error().reason)));
+        return writeRefusal(context, passed.error(), response, now.monotonic);
+    }
+    if (context.contentLength.value_or(0) > m_parts.maxBodyBytes) {
+        verdict why { execution::notRun, refusal_reason::requestTooLarge, "the body is too large", {} };
+        return writeRefusal(context, why, response, now.monotonic);
+    }
+    served->outer = new exchange(makeHead(request, context), context.deadline);
+    dispatch(served->outer, context);
+    auto sent = sendBody(request, served->outer, reader);
+    if (!sent) {
+        served->outer->cancel();
+        return writeRefusal(context, sent.error(), response, now.monotonic);
+    }
+    auto head = served->outer->awaitResponse();
+    if (head)
+        return writeAnswer(served, std::move(*head), response);
+    served->outer->cancel();
+    writeRefusal(context, head.error(), response, now.monotonic);
+}
+
+request_head caller_front::makeHead(
+    const httplib::Request& request, const request_context& context) const
+{
+    request_head head { request.method, request.target, {} };
+    for (const auto& [name, value] : request.headers) {
+        auto lower = lowerCase(name);
+        if (lower == savedEncodingHeader)
+            head.headers.emplace_back("content-encoding", value);
+        else if (!isLocal(lower))
+            head.headers.emplace_back(lower, value);
+    }
+    auto add = [&](std::string_view name, std::string value) {
+        head.headers.emplace_back(std::string(name), std::move(value));
+    };
+    add(requestIdHeader, context.id.text());
+    add(serviceHeader, context.matchedService()->id.text());
+    if (context.caller()) {
+        add(organisationHeader, context.caller()->id.text());
+        // The backend server learns who calls, never by which key.
+        add("x-organisation", context.caller()->id.text());
+    }
+    if (request.has_header("Transfer-Encoding"))
+        add(std::string(internalPrefix) + "body", "chunked");
+    if (context.isKeyed())
+        add(actionHeader, context.idempotencyKey);
+    return head;
+}
+
+void caller_front::dispatch(const handle<exchange>& outer, const request_context& context)
+{
+    const auto& service = context.matchedService()->id;
+    if (!context.isKeyed()) {
+        m_parts.forwarder->forward(outer, { service, true, context.id.text() });
+        return;
+    }
+    auto organisation = context.caller() ? context.caller()->id : organisation_id();
+    auto holder = m_parts.state.holderOf(
+        slotOf(hashOf(action_key { organisation, service, context.idempotencyKey })));
+    auto endpoint = holder ? m_parts.state.endpointOf(*holder) : std::nullopt;
+    note(context, "action", endpoint ? "sent" : "refused", holder ? holder->text() : "no authority");
+    if (holder == m_parts.state.self().node)
+        m_parts.authority->submit(outer);
+    else if (endpoint)
+        m_parts.peers->send({ *holder, *endpoint }, outer);
+    else
+        outer->refuse({ execution::notRun, refusal_reason::authorityUnavailable,
+            "no node remembers this key at present", milliseconds(1000) });
+}
+
+result<void> caller_front::sendBody(const httplib::Request& request, const handle<exchange>& outer,
+    const httplib::ContentReader* reader) const
+{
+    if (!reader || !hasBody(request)) {
+        outer->requestBody().finish();
+        return {};
+    }
+    std::size_t total = 0;
+    bool isRefused = false;
+    bool isTooLarge = false;
+    bool isWhole = (*reader)([&](const char* data, std::size_t size) {
+        total += size;
+        isTooLarge = total > m_parts.maxBodyBytes;
+        isRefused = !isTooLarge && !outer->requestBody().write({ data, size }, outer->deadline());
+        return !isTooLarge && !isRefused;
+    });
+    if (isTooLarge)
+        return mayHaveRun(refusal_reason::requestTooLarge, "the body is too large");
+    if (!isWhole && !isRefused)
+        return mayHaveRun(refusal_reason::cancelled, "the caller's body ended early");
+    outer->requestBody().finish();
+    return {};
+}
+
+void caller_front::writeAnswer(
+    const handle<served_request>& served, response_head head, httplib::Response& response)
+{
+    response.status = head.status;
+    std::optional<std::size_t> length;
+    std::string type;
+    for (auto& [name, value] : head.headers) {
+        if (name == "content-length")
+            length = parseNumber<std::size_t>(value);
+        else if (name == "content-type")
+            type = value;
+        else
+            response.headers.emplace(name, value);
+    }
+    response.set_header(requestIdName, served->context.id.text());
+    auto give = [this, served](httplib::DataSink& sink) {
+        std::array<char, answerChunk> buffer;
+        // A withdrawn key ends streams that are under way too.
+        if (!isKeyInForce(m_parts.state.table(), served->context))
+            return false;
+        auto part = served->outer->responseBody().read(
+            buffer.data(), buffer.size(), served->outer->deadline());
+        if (part.state == pipe_state::failed || part.state == pipe_state::timedOut)
+            return false;
+        if (part.state == pipe_state::ended) {
+            sink.done();
+            return true;
+        }
+        return sink.write(buffer.data(), part.bytes);
+    };
+    bool hasNoBody = served->context.method == "HEAD" || length == 0U || response.status == 204
+        || response.status == 304;
+    auto ended = [this, served, hasNoBody, status = head.status](bool isComplete) {
+        bool isWhole = isComplete || hasNoBody;
+        m_parts.metrics.countAnswer(status, m_parts.clock().monotonic - served->startedAt);
+        if (isWhole)
+            return;
+        served->outer->cancel();
+        note(served->context, "answer", "cut", "the answer could not be completed");
+    };
+    if (hasNoBody && served->context.method != "HEAD")
+        ended(true);
+    else if (length)
+        response.set_content_provider(
+            *length, type, [give](std::size_t, std::size_t, httplib::DataSink& sink) { return give(sink); },
+            ended);
+    else
+        response.set_chunked_content_provider(
+            type, [give](std::size_t, httplib::DataSink& sink) { return give(sink); }, ended);
+}
+
+void caller_front::writeRefusal(
+    const request_context& context, const verdict& why, httplib::Response& response, instant started)
+{
+    m_parts.metrics.countRefusal(why.reason);
+    m_parts.metrics.countAnswer(httpStatus(why.reason), m_parts.clock().monotonic - started);
+    response.status = httpStatus(why.reason);
+    response.set_header("Pomelohub-Verdict", std::string(toText(why.outcome)));
+    response.set_header(requestIdName, context.id.text());
+    if (why.retryAfter > milliseconds::zero())
+        response.set_header(
+            "Retry-After", std::to_string(std::chrono::ceil<std::chrono::seconds>(why.retryAfter).count()));
+    nlohmann::json problem { { "type", "urn:pomelohub:refusal:" + std::string(toText(why.reason)) },
+        { "title", toText(why.reason) }, { "status", response.status }, { "detail", why.detail },
+        { "verdict", toText(why.outcome) }, { "request_id", context.id.text() } };
+    response.set_content(problem.dump(), "application/problem+json");
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/caller_front.h
@@ -0,0 +1,53 @@
+/** \file
+ * Defines caller_front, which turns a caller's HTTP/1.1 request into an exchange and its outcome into an
+ * answer. What is decided is decided by the filters and the forwarder.
+ */
+#pragma once
+
+#include "action_authority.h"
+#include "caller_listener.h"
+#include "entry_filters.h"
+#include "node_metrics.h"
+
+namespace pomelohub {
+
+struct caller_front_parts {
+    const request_chain& chain;
+    control_state& state; ///< Only its parts that any thread may use.
+    handle<fleet_forwarder> forwarder;
+    handle<action_authority> authority;
+    handle<peer_client> peers;
+    node_metrics& metrics;
+    clock_hook clock;
+    random_hook random;
+    decision_hook decided;
+    std::size_t maxBodyBytes = 0;
+};
+
+/** Thread safety: any thread. Blocks the calling thread for one request. */
+class caller_front {
+public:
+    explicit caller_front(caller_front_parts parts);
+
+    /** Registers the handlers of every method. */
+    void attach(caller_listener& listener);
+
+private:
+    struct served_request;
+
+    void serve(const httplib::Request& request, httplib::Response& response,
+        const httplib::ContentReader* reader);
+    void readContext(const httplib::Request& request, request_context& context) const;
+    request_head makeHead(const httplib::Request& request, const request_context& context) const;
+    void dispatch(const handle<exchange>& outer, const request_context& context);
+    result<void> sendBody(const httplib::Request& request, const handle<exchange>& outer,
+        const httplib::ContentReader* reader) const;
+    void writeAnswer(const handle<served_request>& served, response_head head, httplib::Response& response);
+    void writeRefusal(
+        const request_context& context, const verdict& why, httplib::Response& response, instant started);
+    void note(const request_context& context, std::string stage, std::string outcome, std::string reason);
+
+    caller_front_parts m_parts;
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/caller_stream.h
@@ -0,0 +1,69 @@
+/** \file
+ * Defines caller_stream, the byte stream of one caller's connection as cpp-httplib reads and writes it, with
+ * limits on the head of a request and on silence.
+ */
+#pragma once
+
+#include "core_types.h"
+#include "rcu_cell.h"
+
+#include <httplib.h>
+
+#include <vector>
+
+namespace pomelohub {
+
+struct stream_limits {
+    std::size_t maxHeadBytes = 32 * 1024;
+    duration headTimeout = std::chrono::seconds(5);
+    duration silenceTimeout = std::chrono::seconds(20);
+};
+
+/** Thread safety: one thread at a time. Bytes read too far stay for the next request. */
+class caller_stream : public httplib::Stream, public counted<caller_stream> {
+public:
+    /** \param socket is closed by this object. */
+    caller_stream(socket_t socket, stream_limits limits, clock_hook clock);
+    ~caller_stream() override;
+    caller_stream(const caller_stream&) = delete;
+    caller_stream& operator=(const caller_stream&) = delete;
+
+    /** Starts to count the head of a new request. */
+    void beginHead();
+
+    /** The head has been read; the body has no limit here. */
+    void endHead() { m_isInHead = false; }
+
+    /** Whether bytes of a further request were read already. */
+    bool hasBuffered() const { return m_start < m_end; }
+
+    /** Whether the head went over its limits. */
+    bool isHeadOverLimit() const { return m_isOverLimit; }
+
+    bool is_readable() const override;
+    bool is_writable() const override;
+    ssize_t read(char* out, std::size_t size) override;
+    ssize_t write(const char* data, std::size_t size) override;
+    void get_remote_ip_and_port(std::string& ip, int& port) const override;
+    void get_local_ip_and_port(std::string& ip, int& port) const override;
+    socket_t socket() const override { return m_socket; }
+
+private:
+    static constexpr std::size_t bufferBytes = 8 * 1024;
+
+    bool waitFor(short events, duration timeout) const;
+    bool fill();
+
+    socket_t m_socket;
+    stream_limits m_limits;
+    clock_hook m_clock;
+    std::vector<char> m_buffer;
+    std::size_t m_start = 0;
+    std::size_t m_end = 0;
+    std::size_t m_headBytes = 0;
+    instant m_headDeadline {};
+    bool m_isInHead = true;
+    bool m_isOverLimit = false;
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/control_plane.cpp
@@ -0,0 +1,302 @@
+#include "control_plane.h"
+
+#include <future>
+
+namespace pomelohub {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr milliseconds tickInterval { 100 };
+    constexpr milliseconds pollWait { 5000 };
+    constexpr milliseconds retryFirst { 200 };
+    constexpr milliseconds retryMost { 3000 };
+    constexpr std::size_t pageLimit = 1000;
+    constexpr std::size_t largeAnswer = 256 * 1024 * 1024;
+    constexpr duration askTimeout = milliseconds(1000);
+    constexpr duration startStateTimeout = std::chrono::seconds(20);
+
+    /** A timer that outlives the call that started it. */
+    struct counted_timer : counted<counted_timer> {
+        explicit counted_timer(asio::io_context& io)
+            : timer(asio::make_strand(io))
+        {
+        }
+        void cancel()
+        {
+            asio::post(timer.get_executor(), [self = handle<counted_timer>(this)] { self->timer.cancel(); });
+        }
+        asio::steady_timer timer;
+    };
+
+} // namespace
+
+control_plane::control_plane(control_plane_parts parts)
+    : m_parts(std::move(parts))
+    , m_tickTimer(m_parts.strand)
+{
+}
+
+control_plane::~control_plane() { stop(); }
+
+void control_plane::withState(std::function<void(control_state&, const present&)> use)
+{
+    asio::post(m_parts.strand, [self = handle<control_plane>(this), use = std::move(use)] {
+        use(self->m_parts.state, self->m_parts.clock());
+        self->noteChanges();
+    });
+}
+
+void control_plane::noteChanges()
+{
+    const auto& state = m_parts.state;
+    std::pair offsets(state.nextOffset(log_stream::configuration), state.inForceOffset());
+    if (offsets == m_lastOffsets)
+        return;
+    m_lastOffsets = offsets;
+    m_changes.note();
+}
+
+void control_plane::start()
+{
+    withState([self = handle<control_plane>(this)](control_state& state, const present& now) {
+        state.join(self->m_parts.settings.seeds, now);
+        self->append({ state.joinRecord() }, [] {});
+        self->m_parts.gossip->start([self](const gossip_message& message) {
+            auto& parts = self->m_parts;
+            for (const auto& answer : parts.state.takeGossip(message, parts.clock()))
+                parts.gossip->send(answer);
+            self->noteChanges();
+        });
+        self->scheduleTick();
+    });
+    for (auto stream : { log_stream::fleet, log_stream::configuration })
+        m_followers.emplace_back([this, stream] { follow(stream); });
+}
+
+void control_plane::stop()
+{
+    {
+        std::lock_guard lock(m_stopMutex);
+        if (m_stopping.exchange(true))
+            return;
+        m_stopChanged.notify_all();
+    }
+    for (auto& follower : m_followers)
+        follower.join();
+    m_appender.join();
+}
+
+void control_plane::follow(log_stream stream)
+{
+    std::uint32_t failures = 0;
+    while (!m_stopping) {
+        failures = readOnce(stream) ? 0 : failures + 1;
+        if (failures > 0 && !waitBeforeRetry(failures))
+            return;
+    }
+}
+
+bool control_plane::waitBeforeRetry(std::uint32_t failures)
+{
+    auto ceiling = std::min(retryMost, retryFirst * (1 << std::min(failures, 5U)));
+    // Full jitter: nodes that lost the log together must not come back together.
+    milliseconds wait(m_parts.random(static_cast<std::uint64_t>(ceiling.count())));
+    std::unique_lock lock(m_stopMutex);
+    return !m_stopChanged.wait_for(lock, wait, [this] { return m_stopping.load(); });
+}
+
+template <typename F> auto control_plane::fromState(F&& read)
+{
+    std::promise<decltype(read(m_parts.state, present()))> answer;
+    withState([&](control_state& state, const present& now) { answer.set_value(read(state, now)); });
+    return answer.get_future().get();
+}
+
+bool control_plane::readOnce(log_stream stream)
+{
+    auto from
+        = fromState([&](control_state& state, const present&) { return state.nextOffset(stream); });
+    auto asked = m_parts.clock().monotonic;
+    auto page = m_parts.log.read({ toText(stream), from, pageLimit, pollWait });
+    if (!page)
+        return false;
+    takeFromLog(stream, *page, asked);
+    return true;
+}
+
+void control_plane::takeFromLog(log_stream stream, const log_page& page, instant asked)
+{
+    bool hasGap = fromState(
+        [&](control_state& state, const present&) { return state.needsStartState(stream, page); });
+    // The log no longer has the records after the last one read. A peer fills the gap; without any, what
+    // the log still has is all that is left.
+    if (hasGap && fetchStartState())
+        return;
+    fromState([&](control_state& state, const present& now) {
+        state.takePage(stream, page, asked, now);
+        return true;
+    });
+}
+
+std::optional<peer_address> control_plane::anyPeer(const control_state& state) const
+{
+    std::vector<peer_address> peers;
+    for (const auto& [node, record] : state.members().others()) {
+        if (isPresent(record.status))
+            peers.push_back({ node, record.endpoint });
+    }
+    if (peers.empty())
+        return std::nullopt;
+    return peers[m_parts.random(peers.size())];
+}
+
+bool control_plane::fetchStartState()
+{
+    auto peer = fromState([&](control_state& state, const present&) { return anyPeer(state); });
+    if (!peer)
+        return false;
+    std::promise<result<std::string>> answer;
+    ask(*peer, std::string(control_path::startState), "", startStateTimeout,
+        [&](result<std::string> given) { answer.set_value(std::move(given)); });
+    auto given = answer.get_future().get();
+    auto decoded = given ? decodeStartState(*given) : std::nullopt;
+    if (!decoded)
+        return false;
+    fromState([&](control_state& state, const present& now) {
+        state.takeStartState(*decoded, now);
+        return true;
+    });
+    return true;
+}
+
+void control_plane::ask(const peer_address& peer, const std::string& path, std::string body,
+    duration timeout, std::function<void(result<std::string>)> done)
+{
+    handle<exchange> asked(
+        new exchange({ "POST", path, {} }, m_parts.clock().monotonic + timeout));
+    asked->requestBody().offer(body);
+    asked->requestBody().finish();
+    // A peer that answers nothing must not hold its asker longer than the timeout.
+    auto timer = handle<counted_timer>(new counted_timer(m_parts.io));
+    timer->timer.expires_after(timeout);
+    timer->timer.async_wait([asked](const asio::error_code& stopped) {
+        if (stopped)
+            return;
+        asked->cancel();
+        asked->refuse({ execution::mayHaveRun, refusal_reason::deadlineExceeded, "no answer", {} });
+        asked->responseBody().fail(
+            { execution::mayHaveRun, refusal_reason::deadlineExceeded, "no answer", {} });
+    });
+    collectAnswer(asked, largeAnswer, [timer, done = std::move(done)](result<std::string> given) {
+        timer->cancel();
+        done(std::move(given));
+    });
+    m_parts.peers->send(peer, asked);
+}
+
+void control_plane::scheduleTick()
+{
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([self = handle<control_plane>(this)](const asio::error_code& error) {
+        if (error || self->m_stopping)
+            return;
+        self->carryOut(self->m_parts.state.tick(self->m_parts.clock()));
+        self->noteChanges();
+        self->scheduleTick();
+    });
+}
+
+void control_plane::carryOut(control_outputs out)
+{
+    for (const auto& datagram : out.datagrams)
+        m_parts.gossip->send(datagram);
+    // What could not be appended is decided anew by a later tick.
+    if (!out.appends.empty() && m_appendsUnderWay == 0)
+        append(std::move(out.appends), [] {});
+    for (const auto& request : out.ejections)
+        askForPermit(request);
+    if (!out.catchUpFrom)
+        return;
+    catchUp(*out.catchUpFrom, log_stream::configuration);
+    catchUp(*out.catchUpFrom, log_stream::fleet);
+}
+
+void control_plane::append(std::vector<append_request> requests, std::function<void()> done)
+{
+    ++m_appendsUnderWay;
+    asio::post(m_appender,
+        [self = handle<control_plane>(this), requests = std::move(requests), done = std::move(done)]() mutable {
+            self->runAppends(std::move(requests), std::move(done));
+        });
+}
+
+void control_plane::runAppends(std::vector<append_request> requests, std::function<void()> done)
+{
+    for (const auto& request : requests) {
+        auto offset = m_parts.log.append(toText(request.stream), request.data);
+        if (!offset)
+            break;
+    }
+    --m_appendsUnderWay;
+    done();
+}
+
+void control_plane::askForPermit(const ejection_request& request)
+{
+    auto& state = m_parts.state;
+    auto asked = m_parts.clock().monotonic;
+    auto holder = state.holderOf(slotOf(ejectionHashOf(request.service)));
+    if (!holder)
+        return;
+    auto take = [self = handle<control_plane>(this), asked](const ejection_permit& permit) {
+        self->withState([permit, asked](control_state& known, const present& now) {
+            known.takePermit(permit, asked, now);
+        });
+    };
+    if (*holder == state.self().node) {
+        if (auto permit = state.permit(request, asked))
+            take(*permit);
+        return;
+    }
+    auto endpoint = state.endpointOf(*holder);
+    if (!endpoint)
+        return;
+    ask({ *holder, *endpoint }, std::string(control_path::ejection), encode(request), askTimeout,
+        [take](const result<std::string>& given) {
+            auto permit = given ? decodeEjectionPermit(*given) : std::nullopt;
+            if (permit)
+                take(*permit);
+        });
+}
+
+void control_plane::catchUp(const peer_address& peer, log_stream stream)
+{
+    auto from = m_parts.state.nextOffset(stream);
+    auto path = std::string(control_path::records) + toText(stream) + "/" + std::to_string(from);
+    ask(peer, path, "", askTimeout,
+        [self = handle<control_plane>(this), stream](const result<std::string>& given) {
+            auto page = given ? decodeLogPage(*given) : std::nullopt;
+            if (!page)
+                return;
+            self->withState([stream, page = *page](control_state& state, const present& now) {
+                bool isGapless = page.first <= state.nextOffset(stream);
+                if (isGapless)
+                    state.takeRelayedPage(stream, page, now);
+            });
+        });
+}
+
+void control_plane::leave(std::function<void()> done)
+{
+    withState([self = handle<control_plane>(this), done = std::move(done)](
+                  control_state& state, const present& now) {
+        auto out = state.leave(now);
+        for (const auto& datagram : out.datagrams)
+            self->m_parts.gossip->send(datagram);
+        self->append(std::move(out.appends), done);
+    });
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/control_plane.h
@@ -0,0 +1,95 @@
+/** \file
+ * Defines control_plane, which drives control_state: it follows the log, exchanges datagrams, asks peers, and
+ * carries out on a strand of its own what the controllers decide.
+ */
+#pragma once
+
+#include "control_state.h"
+#include "gossip_socket.h"
+#include "peer_client.h"
+
+#include <asio.hpp>
+
+#include <thread>
+
+namespace pomelohub {
+
+/** What the control plane needs of the rest of the node. */
+struct control_plane_parts {
+    asio::io_context& io;
+    const node_settings& settings;
+    control_state& state;
+    handle<peer_client> peers;
+    handle<gossip_socket> gossip;
+    log_access log;
+    clock_hook clock;
+    random_hook random;
+    gossip_socket::strand strand; ///< Also the gossip socket's.
+};
+
+/** Thread safety: any thread. */
+class control_plane : public counted<control_plane> {
+public:
+    explicit control_plane(control_plane_parts parts);
+    ~control_plane();
+    control_plane(const control_plane&) = delete;
+    control_plane& operator=(const control_plane&) = delete;
+
+    void start();
+
+    /** Runs \p use with the state on the strand, at the present time then. */
+    void withState(std::function<void(control_state&, const present&)> use);
+
+    /** Makes this node known as leaving and gives up its slots. \param done is called when the log has it, or
+     * cannot be reached. */
+    void leave(std::function<void()> done);
+
+    /** Stops following the log and closes the socket. */
+    void stop();
+
+    /** Asks \p peer over the streams between nodes. \param done is called on any thread. */
+    void ask(const peer_address& peer, const std::string& path, std::string body, duration timeout,
+        std::function<void(result<std::string>)> done);
+
+    /** Counts changes of what is applied or in force, for callers that wait for one. */
+    const arrival_count& changes() const { return m_changes; }
+
+    const control_state& state() const { return m_parts.state; }
+
+private:
+    void noteChanges();
+    void follow(log_stream stream);
+    bool readOnce(log_stream stream);
+    bool waitBeforeRetry(std::uint32_t failures);
+    void takeFromLog(log_stream stream, const log_page& page, instant asked);
+    bool fetchStartState();
+    template <typename F> auto fromState(F&& read);
+    void scheduleTick();
+    void carryOut(control_outputs out);
+    void append(std::vector<append_request> requests, std::function<void()> done);
+    void askForPermit(const ejection_request& request);
+    void catchUp(const peer_address& peer, log_stream stream);
+    std::optional<peer_address> anyPeer(const control_state& state) const;
+    void runAppends(std::vector<append_request> requests, std::function<void()> done);
+
+    control_plane_parts m_parts;
+    asio::steady_timer m_tickTimer;
+    asio::thread_pool m_appender { 1 };
+    std::atomic<int> m_appendsUnderWay { 0 };
+    arrival_count m_changes;
+    std::pair<std::uint64_t, std::uint64_t> m_lastOffsets;
+    std::atomic<bool> m_stopping { false };
+    std::mutex m_stopMutex;
+    std::condition_variable m_stopChanged;
+    std::vector<std::thread> m_followers;
+};
+
+/** Paths of the questions between nodes. */
+namespace control_path {
+    inline constexpr std::string_view rate = "/control/rate";
+    inline constexpr std::string_view ejection = "/control/ejection";
+    inline constexpr std::string_view startState = "/control/start-state";
+    inline constexpr std::string_view records = "/control/records/";
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/control_state.cpp
@@ -0,0 +1,590 @@
+#include "control_state.h"
+
+#include "hashing.h"
+
+namespace pomelohub {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr duration isolationTime = std::chrono::seconds(5);
+    constexpr duration judgementInterval = milliseconds(250);
+    constexpr duration reportInterval = std::chrono::seconds(5);
+    constexpr duration slotInterval = milliseconds(500);
+    constexpr duration trimInterval = std::chrono::seconds(30);
+    constexpr duration ejectionAskInterval = milliseconds(500);
+    constexpr duration catchUpDelay = milliseconds(300);
+    constexpr duration restateRound = std::chrono::hours(4);
+    constexpr milliseconds grantLifetime { 1000 };
+    constexpr std::size_t keptRecords = 2000;
+    constexpr std::size_t keptOutcomes = 4000;
+    constexpr std::size_t journalLength = 4000;
+
+    slot_policy makeSlotPolicy(const node_settings& settings)
+    {
+        slot_policy policy;
+        policy.staleLimit = settings.staleLimit;
+        policy.grantLifetime = grantLifetime;
+        return policy;
+    }
+
+    member_record makeSelf(const node_settings& settings, const node_life& self)
+    {
+        member_record record;
+        record.life = self;
+        record.dataCentre = settings.dataCentre;
+        record.endpoint = settings.peersEndpoint;
+        return record;
+    }
+
+    std::size_t indexOf(log_stream stream) { return static_cast<std::size_t>(stream); }
+
+} // namespace
+
+std::string toText(log_stream stream)
+{
+    return stream == log_stream::configuration ? "configuration" : "fleet";
+}
+
+std::optional<log_stream> logStreamFromText(std::string_view text)
+{
+    for (auto stream : { log_stream::configuration, log_stream::fleet }) {
+        if (toText(stream) == text)
+            return stream;
+    }
+    return std::nullopt;
+}
+
+control_state::control_state(const node_settings& settings, node_life self, control_hooks hooks)
+    : m_settings(settings)
+    , m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+    , m_members(makeSelf(settings, m_self), membership_policy {}, m_hooks.random,
+          [this](const member_record& record) { memberChanged(record); })
+    , m_slots(m_self, makeSlotPolicy(settings))
+    , m_rates(grantLifetime, slot_policy {}.clockRateError, m_self.life)
+    , m_actions(ledger_policy {})
+    , m_ejection(settings.ejection)
+    , m_gray(settings.gray)
+    , m_ramp(ramp_policy {})
+    , m_journal(journalLength)
+    , m_knownHolders(slotCount)
+{
+}
+
+void control_state::decide(const present& now, std::string subject, std::string stage, std::string outcome,
+    std::string reason) const
+{
+    m_hooks.decided(
+        { now.wall, std::move(subject), std::move(stage), std::move(outcome), std::move(reason) });
+}
+
+node_readiness control_state::readiness(instant now) const
+{
+    if (!m_hasConfiguration)
+        return node_readiness::starting;
+    auto heard = std::max(m_lastLogContact.load(), m_lastPeerContact.load());
+    return now - heard > isolationTime ? node_readiness::isolated : node_readiness::ready;
+}
+
+std::optional<std::string> control_state::endpointOf(const node_id& node) const
+{
+    return m_directory.read([&](const node_directory* known) -> std::optional<std::string> {
+        if (!known)
+            return std::nullopt;
+        auto found = known->endpoints.find(node);
+        return found == known->endpoints.end() ? std::nullopt : std::optional(found->second);
+    });
+}
+
+std::optional<node_id> control_state::holderOf(slot_index slot) const
+{
+    return m_slotView.read(
+        [&](const slot_view* view) { return view ? view->holders[slot] : std::optional<node_id>(); });
+}
+
+void control_state::memberChanged(const member_record& record)
+{
+    m_registry.update(record);
+    m_membersChanged = true;
+}
+
+void control_state::publishMembers()
+{
+    m_registry.publish();
+    if (!std::exchange(m_membersChanged, false))
+        return;
+    handle<node_directory> next(new node_directory);
+    auto members = m_members.all();
+    for (const auto* record : members)
+        next->endpoints[record->life.node] = record->endpoint;
+    m_directory.publish(next);
+    m_inForce = confirmation_controller::inForce(members);
+    updateSlotMembers();
+}
+
+void control_state::publishSlots(const present& now)
+{
+    handle<slot_view> next(new slot_view);
+    for (slot_index slot = 0; slot < slotCount; ++slot) {
+        const auto& holder = m_slots.table().at(slot).holder;
+        if (holder)
+            next->holders[slot] = holder->node;
+    }
+    m_slotView.publish(next);
+    noteNewSlots(now);
+}
+
+void control_state::noteNewSlots(const present& now)
+{
+    for (slot_index slot = 0; slot < slotCount; ++slot) {
+        const auto& state = m_slots.table().at(slot);
+        if (state.holder == m_knownHolders[slot])
+            continue;
+        m_knownHolders[slot] = state.holder;
+        if (state.holder != m_self)
+            continue;
+        bool isFirst = state.term == 1;
+        auto since = m_slots.heldSince(slot);
+        auto sinceWall = now.wall + std::chrono::ceil<milliseconds>(since - now.monotonic);
+        m_rates.startSlot(slot, isFirst ? instant::min() : since);
+        m_actions.startSlot(slot, isFirst ? wall_time::min() : sinceWall);
+        decide(now, "slot-" + std::to_string(slot), "slot", "held", "term " + std::to_string(state.term));
+    }
+}
+
+void control_state::keep(log_stream stream, const log_page& page)
+{
+    auto& recent = m_recent[indexOf(stream)];
+    for (const auto& record : page.records) {
+        if (recent.empty() || record.offset > recent.back().offset)
+            recent.push_back(record);
+    }
+    while (recent.size() > keptRecords)
+        recent.pop_front();
+}
+
+void control_state::takePage(
+    log_stream stream, const log_page& page, instant asked, const present& now)
+{
+    m_lastLogContact = asked;
+    takeRelayedPage(stream, page, now);
+    bool isAtEnd = nextOffset(stream) >= page.next;
+    if (stream == log_stream::configuration && isAtEnd)
+        m_hasConfiguration = true;
+    if (stream != log_stream::fleet || !isAtEnd)
+        return;
+    m_slots.noteEvidence(asked);
+    m_slots.allowClaims();
+}
+
+void control_state::takeRelayedPage(log_stream stream, const log_page& page, const present& now)
+{
+    keep(stream, page);
+    if (stream == log_stream::configuration)
+        applyConfiguration(page, now);
+    else
+        applyFleet(page, now);
+    publishMembers();
+}
+
+void control_state::applyConfiguration(const log_page& page, const present& now)
+{
+    std::vector<placed_record> placed;
+    for (const auto& record : page.records) {
+        std::vector<field_error> errors;
+        if (record.offset < m_configuration.nextOffset())
+            continue;
+        if (auto decoded = decodeRecord(record.data, errors)) {
+            placed.push_back({ record.offset, std::move(*decoded) });
+            continue;
+        }
+        m_hooks.recordApplied("corrupt");
+        decide(now, "record-" + std::to_string(record.offset), "configuration", "corrupt",
+            errors.empty() ? "" : toText(errors.front()));
+    }
+    auto outcomes = m_configuration.apply(placed);
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        m_outcomes[placed[i].offset] = outcomes[i];
+        m_hooks.recordApplied(std::string(toText(outcomes[i])));
+        const auto& target = placed[i].record.target;
+        decide(now, "record-" + std::to_string(placed[i].offset), "configuration",
+            std::string(toText(outcomes[i])), std::string(toText(target.kind)) + "/" + target.name);
+    }
+    while (m_outcomes.size() > keptOutcomes)
+        m_outcomes.erase(m_outcomes.begin());
+    if (!page.records.empty())
+        m_configuration.skipTo(page.records.back().offset + 1);
+    if (!outcomes.empty()) {
+        updateRamp(now);
+        m_nextReport = now.monotonic;
+    }
+}
+
+void control_state::applyFleet(const log_page& page, const present& now)
+{
+    auto& next = m_next[indexOf(log_stream::fleet)];
+    bool hasChanges = false;
+    for (const auto& record : page.records) {
+        if (record.offset < next)
+            continue;
+        next = record.offset + 1;
+        std::vector<field_error> errors;
+        auto decoded = decodeFleetRecord(record.data, errors);
+        if (!decoded) {
+            m_hooks.recordApplied("corrupt");
+            continue;
+        }
+        hasChanges = true;
+        m_slots.apply(decoded->slots, now.monotonic);
+        if (decoded->slots.change == slot_change::join && !decoded->endpoint.empty()) {
+            member_record member;
+            member.life = decoded->slots.by;
+            member.dataCentre = decoded->dataCentre;
+            member.endpoint = decoded->endpoint;
+            m_members.merge({ member }, now.monotonic);
+        }
+    }
+    if (hasChanges)
+        publishSlots(now);
+}
+
+std::uint64_t control_state::nextOffset(log_stream stream) const
+{
+    return stream == log_stream::configuration ? m_configuration.nextOffset() : m_next[indexOf(stream)];
+}
+
+bool control_state::needsStartState(log_stream stream, const log_page& page) const
+{
+    return nextOffset(stream) < page.first;
+}
+
+log_page control_state::recentRecords(log_stream stream, std::uint64_t from) const
+{
+    log_page page;
+    const auto& recent = m_recent[indexOf(stream)];
+    page.first = recent.empty() ? nextOffset(stream) : recent.front().offset;
+    page.next = nextOffset(stream);
+    for (const auto& record : recent) {
+        if (record.offset >= from)
+            page.records.push_back(record);
+    }
+    return page;
+}
+
+start_state control_state::startState() const
+{
+    start_state state;
+    state.configuration = m_configuration.snapshot();
+    state.fleetNext = m_next[indexOf(log_stream::fleet)];
+    for (slot_index slot = 0; slot < slotCount; ++slot) {
+        const auto& known = m_slots.table().at(slot);
+        if (known.holder)
+            state.slots.push_back({ slot_change::restate, *known.holder, { slot }, { known.term } });
+    }
+    for (const auto* member : m_members.all())
+        state.members.push_back(*member);
+    return state;
+}
+
+void control_state::takeStartState(const start_state& state, const present& now)
+{
+    m_configuration.load(state.configuration);
+    auto& fleetNext = m_next[indexOf(log_stream::fleet)];
+    if (state.fleetNext > fleetNext) {
+        for (const auto& record : state.slots)
+            m_slots.apply(record, now.monotonic);
+        fleetNext = state.fleetNext;
+    }
+    m_members.merge(state.members, now.monotonic);
+    m_lastPeerContact = now.monotonic;
+    m_hasConfiguration = true;
+    publishSlots(now);
+    updateRamp(now);
+    publishMembers();
+    m_nextReport = now.monotonic;
+}
+
+log_cursors control_state::cursors(instant now) const
+{
+    return { nextOffset(log_stream::configuration), nextOffset(log_stream::fleet), evidenceAge(now) };
+}
+
+milliseconds control_state::evidenceAge(instant now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now - m_slots.lastEvidence());
+}
+
+std::vector<outgoing_gossip> control_state::takeGossip(
+    const gossip_message& message, const present& now)
+{
+    auto out = m_members.receive(message, cursors(now.monotonic), now.monotonic);
+    m_lastPeerContact = m_members.lastHeard();
+    if (message.kind == gossip_kind::report)
+        m_confirmations.note(message.from, message.cursors.configuration);
+    bool isAhead = message.cursors.configuration > nextOffset(log_stream::configuration)
+        || message.cursors.fleet > nextOffset(log_stream::fleet);
+    if (isAhead && !m_ahead) {
+        m_ahead = peer_address { message.from.node, message.fromEndpoint };
+        m_aheadSince = now.monotonic;
+    }
+    // A peer that has seen the log's end vouches for it, if this node has read as far.
+    if (message.cursors.fleet <= nextOffset(log_stream::fleet))
+        m_slots.noteEvidence(now.monotonic - message.cursors.evidenceAge);
+    publishMembers();
+    return out;
+}
+
+void control_state::join(const std::vector<peer_address>& seeds, const present& now)
+{
+    std::vector<member_record> records;
+    for (const auto& seed : seeds) {
+        if (seed.node == m_self.node || m_members.others().contains(seed.node))
+            continue;
+        member_record record;
+        record.life.node = seed.node;
+        record.endpoint = seed.endpoint;
+        records.push_back(record);
+    }
+    m_members.merge(records, now.monotonic);
+    publishMembers();
+}
+
+append_request control_state::joinRecord() const
+{
+    fleet_record record { { slot_change::join, m_self, {}, {} }, m_settings.dataCentre,
+        m_settings.peersEndpoint };
+    return { log_stream::fleet, encodeFleetRecord(record) };
+}
+
+void control_state::updateSlotMembers()
+{
+    std::vector<slot_candidate> candidates { { m_self, !m_isLeaving } };
+    for (const auto& [node, record] : m_members.others())
+        candidates.push_back({ record.life, isPresent(record.status) });
+    m_slots.setMembers(candidates);
+}
+
+void control_state::appendSlotRecords(control_outputs& out, std::vector<slot_record> records) const
+{
+    for (auto& record : records)
+        out.appends.push_back({ log_stream::fleet,
+            encodeFleetRecord({ std::move(record), m_settings.dataCentre, m_settings.peersEndpoint }) });
+}
+
+control_outputs control_state::tick(const present& now)
+{
+    control_outputs out;
+    out.datagrams = m_members.tick(cursors(now.monotonic), now.monotonic);
+    if (now.monotonic >= m_nextSlotTick) {
+        m_nextSlotTick = now.monotonic + slotInterval;
+        appendSlotRecords(out, m_slots.tick(now.monotonic));
+    }
+    if (now.monotonic >= m_nextReport)
+        report(out, now);
+    if (now.monotonic >= m_nextJudgement)
+        judgeBackends(out, now);
+    if (now.monotonic >= m_nextRestatement)
+        restateConfiguration(out, now);
+    if (now.monotonic >= m_nextTrim) {
+        m_nextTrim = now.monotonic + trimInterval;
+        m_rates.trim(now.monotonic);
+        m_actions.trim(now.wall);
+        m_leases.trim(now.monotonic);
+        m_confirmations.retain(m_members.all());
+    }
+    if (now.monotonic >= m_nextWindow) {
+        m_nextWindow = now.monotonic + token_leases::demandWindow;
+        m_leases.startWindow();
+    }
+    if (m_ahead && now.monotonic - m_aheadSince >= catchUpDelay)
+        out.catchUpFrom = std::exchange(m_ahead, std::nullopt);
+    publishMembers();
+    return out;
+}
+
+void control_state::report(control_outputs& out, const present& now)
+{
+    m_nextReport = now.monotonic + reportInterval;
+    auto members = m_members.all();
+    const auto* reporter = confirmation_controller::reporterOf(m_settings.dataCentre, members);
+    if (!reporter)
+        return;
+    if (reporter->life != m_self) {
+        gossip_message message;
+        message.kind = gossip_kind::report;
+        message.from = m_self;
+        message.fromEndpoint = m_settings.peersEndpoint;
+        message.cursors = cursors(now.monotonic);
+        out.datagrams.push_back({ reporter->endpoint, std::move(message) });
+        return;
+    }
+    m_confirmations.note(m_self, nextOffset(log_stream::configuration));
+    auto confirmed = m_confirmations.confirmedIn(m_settings.dataCentre, members);
+    if (confirmed != m_members.self().confirmedOffset)
+        m_members.updateSelf([&](member_record& self) { self.confirmedOffset = confirmed; });
+    m_membersChanged = true;
+    // While reports come in, the lowest of them is followed closely.
+    if (confirmed < nextOffset(log_stream::configuration))
+        m_nextReport = now.monotonic + judgementInterval;
+}
+
+void control_state::judgeBackends(control_outputs& out, const present& now)
+{
+    m_nextJudgement = now.monotonic + judgementInterval;
+    updateRamp(now);
+    for (auto& [backend, until] : m_ejectedUntil) {
+        const auto* entry = m_registry.find(backend);
+        if (entry && until <= now.monotonic && entry->stats->ejected.exchange(false))
+            decide(now, backend.text(), "ejection", "returned", "the permit lapsed");
+    }
+    std::erase_if(m_ejectedUntil, [&](const auto& entry) { return entry.second <= now.monotonic; });
+    m_registry.forEachActive([&](const service_id& service, const service_view& view) {
+        auto suspects = m_gray.tick(view);
+        auto& nextAsk = m_nextEjectionAsk[service];
+        if (suspects.empty() || now.monotonic < nextAsk)
+            return;
+        nextAsk = now.monotonic + ejectionAskInterval;
+        for (const auto& suspect : suspects)
+            decide(now, suspect.text(), "gray", "suspect", "worse than its peers in " + service.text());
+        out.ejections.push_back({ service, m_self.node, std::move(suspects) });
+    });
+}
+
+void control_state::restateConfiguration(control_outputs& out, const present& now)
+{
+    bool isFirst = m_nextRestatement == instant {};
+    m_nextRestatement = now.monotonic + restateRound / configuration_table::shardCount;
+    if (isFirst)
+        return;
+    table().forEachIn(m_restateShard, [&](const stored_resource& stored) {
+        auto name = std::string(toText(stored.name.kind)) + "/" + stored.name.name;
+        if (!m_slots.mayUse(slotOf(stableHash(name)), now.monotonic))
+            return;
+        configuration_record record { stored.recordId, stored.name, 0, stored.version, stored.content };
+        out.appends.push_back({ log_stream::configuration, encodeRecord(record) });
+    });
+    m_restateShard = (m_restateShard + 1) % configuration_table::shardCount;
+}
+
+void control_state::updateRamp(const present& now)
+{
+    std::set<data_centre_id> dataCentres { m_settings.dataCentre };
+    for (const auto& [node, record] : m_members.others()) {
+        if (isPresent(record.status))
+            dataCentres.insert(record.dataCentre);
+    }
+    for (const auto& dataCentre : dataCentres)
+        m_ramp.update(dataCentre, table().isInService(dataCentre), now.monotonic);
+}
+
+control_outputs control_state::leave(const present& now)
+{
+    m_isLeaving = true;
+    control_outputs out;
+    appendSlotRecords(out, m_slots.leave());
+    out.datagrams = m_members.leave(cursors(now.monotonic));
+    return out;
+}
+
+result<rate_grant> control_state::grant(const rate_request& request, instant now)
+{
+    auto slot = slotOf(hashOf(request.part));
+    if (request.part.part >= rateParts || !m_slots.mayUse(slot, now))
+        return notRun(refusal_reason::authorityUnavailable, "this node does not hold the slot");
+    auto stored = table().find({ resource_kind::organisation, request.part.organisation.text() });
+    const auto* limits = stored ? stored->as<organisation>() : nullptr;
+    if (!limits)
+        return rate_grant {};
+    return m_rates.grant(request, shareOf(*limits), now);
+}
+
+result<ejection_permit> control_state::permit(const ejection_request& request, instant now)
+{
+    auto slot = slotOf(ejectionHashOf(request.service));
+    // Permits of a former holder must have lapsed before this one gives any.
+    bool isSettled = m_slots.mayUse(slot, now)
+        && (m_slots.table().at(slot).term == 1
+            || now - m_slots.heldSince(slot) >= m_settings.ejection.permitLifetime);
+    if (!isSettled)
+        return notRun(refusal_reason::authorityUnavailable, "this node may not eject yet");
+    auto view = m_registry.viewOf(request.service);
+    service_capacity capacity;
+    capacity.floor = table().floorOf(request.service);
+    capacity.entryNodes = static_cast<std::uint32_t>(m_members.liveCount());
+    if (view) {
+        for (const auto& entry : view->backends)
+            capacity.backendServers += entry.condition == backend_condition::draining ? 0 : 1;
+    }
+    return m_ejection.request(request, capacity, now);
+}
+
+void control_state::takePermit(const ejection_permit& permit, instant asked, const present& now)
+{
+    for (const auto& backend : permit.ejected) {
+        const auto* entry = m_registry.find(backend);
+        if (!entry)
+            continue;
+        m_ejectedUntil[backend] = asked + permit.lifetime;
+        if (!entry->stats->ejected.exchange(true))
+            decide(now, backend.text(), "ejection", "ejected", "permit of the authority");
+    }
+}
+
+void control_state::beginAction(
+    const action_key& key, const digest& request, const present& now, action_hook done)
+{
+    if (!m_slots.mayUse(slotOf(hashOf(key)), now.monotonic)) {
+        done(notRun(refusal_reason::authorityUnavailable, "this node does not hold the key's slot",
+            milliseconds(1000)));
+        return;
+    }
+    auto decided = m_actions.begin(key, request, now.wall);
+    if (decided && std::holds_alternative<await_action>(*decided))
+        m_waiting[key].push_back({ request, std::move(done) });
+    else
+        done(std::move(decided));
+}
+
+void control_state::retryWaiting(const action_key& key, const present& now)
+{
+    auto waiting = m_waiting.extract(key);
+    if (waiting.empty())
+        return;
+    for (auto& each : waiting.mapped())
+        beginAction(key, each.request, now, std::move(each.done));
+}
+
+void control_state::finishAction(const action_key& key, stored_answer answer, const present& now)
+{
+    m_actions.finish(key, std::move(answer));
+    retryWaiting(key, now);
+}
+
+void control_state::forgetAction(const action_key& key, const present& now)
+{
+    m_actions.forget(key);
+    retryWaiting(key, now);
+}
+
+void control_state::markActionUnknown(const action_key& key, const present& now)
+{
+    m_actions.markUnknown(key);
+    retryWaiting(key, now);
+}
+
+void control_state::setBackends(std::vector<announced_backend> backends)
+{
+    m_members.updateSelf([&](member_record& self) { self.backends = std::move(backends); });
+    m_registry.update(m_members.self());
+    publishMembers();
+}
+
+std::optional<record_outcome> control_state::outcomeAt(std::uint64_t offset) const
+{
+    auto found = m_outcomes.find(offset);
+    return found == m_outcomes.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/control_state.h
@@ -0,0 +1,189 @@
+/** \file
+ * Defines control_state, the controllers of a node put together: configuration, membership, slots, rates,
+ * actions, ejection. It knows no socket and no thread; the control plane feeds it and carries out what it asks.
+ */
+#pragma once
+
+#include "action_ledger.h"
+#include "backend_registry.h"
+#include "configuration_codec.h"
+#include "confirmation_controller.h"
+#include "data_centre_ramp.h"
+#include "decision_journal.h"
+#include "ejection_budget.h"
+#include "gray_detector.h"
+#include "node_messages.h"
+#include "node_settings.h"
+#include "readiness_filter.h"
+#include "slot_codec.h"
+#include "slot_controller.h"
+#include "token_leases.h"
+
+namespace pomelohub {
+
+/** Where each node can be reached, for requests. */
+struct node_directory : counted<node_directory> {
+    std::unordered_map<node_id, std::string> endpoints;
+};
+
+/** Who holds each slot, for requests. */
+struct slot_view : counted<slot_view> {
+    std::array<std::optional<node_id>, slotCount> holders;
+};
+
+/** Streams of the platform's log. */
+enum class log_stream {
+    configuration,
+    fleet,
+};
+
+std::string toText(log_stream stream);
+std::optional<log_stream> logStreamFromText(std::string_view text);
+
+/** A record that this node wants appended. */
+struct append_request {
+    log_stream stream = log_stream::fleet;
+    std::string data;
+};
+
+/** What the control plane must do after a tick. */
+struct control_outputs {
+    std::vector<outgoing_gossip> datagrams;
+    std::vector<append_request> appends;
+    std::vector<ejection_request> ejections;
+    std::optional<peer_address> catchUpFrom; ///< A peer that knows more of the log.
+};
+
+/** Hooks out of the state. */
+struct control_hooks {
+    random_hook random;
+    decision_hook decided;
+    std::function<void(const std::string& outcome)> recordApplied;
+};
+
+/** Thread safety: one thread at a time, except for the parts that say otherwise. */
+class control_state {
+public:
+    control_state(const node_settings& settings, node_life self, control_hooks hooks);
+
+    // For requests, from any thread.
+    const configuration_table& table() const { return m_configuration.table(); }
+    const rcu_cell<fleet_view>& fleet() const { return m_registry.view(); }
+    const rcu_cell<node_directory>& directory() const { return m_directory; }
+    const rcu_cell<slot_view>& slots() const { return m_slotView; }
+    const data_centre_ramp& ramp() const { return m_ramp; }
+    token_leases& leases() { return m_leases; }
+    node_readiness readiness(instant now) const;
+    std::optional<std::string> endpointOf(const node_id& node) const;
+    std::optional<node_id> holderOf(slot_index slot) const;
+    const node_life& self() const { return m_self; }
+
+    // The log and the peers.
+    void takePage(log_stream stream, const log_page& page, instant asked, const present& now);
+    void takeRelayedPage(log_stream stream, const log_page& page, const present& now);
+    void takeStartState(const start_state& state, const present& now);
+    start_state startState() const;
+    log_page recentRecords(log_stream stream, std::uint64_t from) const;
+    std::uint64_t nextOffset(log_stream stream) const;
+    bool needsStartState(log_stream stream, const log_page& page) const;
+    std::vector<outgoing_gossip> takeGossip(const gossip_message& message, const present& now);
+    void join(const std::vector<peer_address>& seeds, const present& now);
+    append_request joinRecord() const;
+
+    // Time.
+    control_outputs tick(const present& now);
+    control_outputs leave(const present& now);
+
+    // Authority. Each answer is given at once, or later for actions that are running.
+    result<rate_grant> grant(const rate_request& request, instant now);
+    result<ejection_permit> permit(const ejection_request& request, instant now);
+    void takePermit(const ejection_permit& permit, instant asked, const present& now);
+    using action_hook = std::function<void(result<ledger_decision>)>;
+    void beginAction(const action_key& key, const digest& request, const present& now, action_hook done);
+    void finishAction(const action_key& key, stored_answer answer, const present& now);
+    void forgetAction(const action_key& key, const present& now);
+    void markActionUnknown(const action_key& key, const present& now);
+
+    // Beside this node.
+    void setBackends(std::vector<announced_backend> backends);
+    void note(decision made) { m_journal.add(std::move(made)); }
+
+    // For operators.
+    const membership& members() const { return m_members; }
+    const configuration_controller& configuration() const { return m_configuration; }
+    const slot_controller& slotControl() const { return m_slots; }
+    const decision_journal& journal() const { return m_journal; }
+    const rate_ledger& rates() const { return m_rates; }
+    const action_ledger& actions() const { return m_actions; }
+    const backend_registry& registry() const { return m_registry; }
+    /** The offset before which every record is in force at every live member. */
+    std::uint64_t inForceOffset() const { return m_inForce; }
+    std::optional<record_outcome> outcomeAt(std::uint64_t offset) const;
+    std::chrono::milliseconds evidenceAge(instant now) const;
+
+private:
+    struct waiting_action {
+        digest request {};
+        action_hook done;
+    };
+
+    void memberChanged(const member_record& record);
+    void publishMembers();
+    void publishSlots(const present& now);
+    void applyConfiguration(const log_page& page, const present& now);
+    void applyFleet(const log_page& page, const present& now);
+    void keep(log_stream stream, const log_page& page);
+    void noteNewSlots(const present& now);
+    log_cursors cursors(instant now) const;
+    void updateSlotMembers();
+    void appendSlotRecords(control_outputs& out, std::vector<slot_record> records) const;
+    void report(control_outputs& out, const present& now);
+    void judgeBackends(control_outputs& out, const present& now);
+    void restateConfiguration(control_outputs& out, const present& now);
+    void updateRamp(const present& now);
+    void retryWaiting(const action_key& key, const present& now);
+    void decide(const present& now, std::string subject, std::string stage, std::string outcome,
+        std::string reason) const;
+
+    const node_settings& m_settings;
+    node_life m_self;
+    control_hooks m_hooks;
+    configuration_controller m_configuration;
+    membership m_members;
+    slot_controller m_slots;
+    rate_ledger m_rates;
+    action_ledger m_actions;
+    ejection_budget m_ejection;
+    confirmation_controller m_confirmations;
+    gray_detector m_gray;
+    data_centre_ramp m_ramp;
+    backend_registry m_registry;
+    token_leases m_leases;
+    decision_journal m_journal;
+    rcu_cell<node_directory> m_directory;
+    rcu_cell<slot_view> m_slotView;
+    std::array<std::deque<log_record>, 2> m_recent;
+    std::array<std::uint64_t, 2> m_next {};
+    std::map<std::uint64_t, record_outcome> m_outcomes;
+    std::vector<std::optional<node_life>> m_knownHolders;
+    std::map<action_key, std::vector<waiting_action>> m_waiting;
+    std::map<backend_server_id, instant> m_ejectedUntil;
+    std::map<service_id, instant> m_nextEjectionAsk;
+    std::optional<peer_address> m_ahead; ///< A peer that has read further, with the time it was seen.
+    instant m_aheadSince {};
+    instant m_nextJudgement {};
+    instant m_nextReport {};
+    instant m_nextSlotTick {};
+    instant m_nextRestatement {};
+    instant m_nextTrim {};
+    instant m_nextWindow {};
+    std::uint64_t m_inForce = 0;
+    std::size_t m_restateShard = 0;
+    bool m_membersChanged = true;
+    bool m_isLeaving = false;
+    std::atomic<bool> m_hasConfiguration { false };
+    std::atomic<instant> m_lastLogContact { instant {} };
+    std::atomic<instant> m_lastPeerContact { instant {} };
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/gossip_socket.h
@@ -0,0 +1,45 @@
+/** \file
+ * Defines gossip_socket, which sends and receives the sealed datagrams between nodes.
+ */
+#pragma once
+
+#include "node_messages.h"
+#include "node_metrics.h"
+#include "sealed_datagram.h"
+
+#include <asio.hpp>
+#include <tl/expected.hpp>
+
+namespace pomelohub {
+
+/** Thread safety: construction and open() before use; send() and the hook on the given strand. */
+class gossip_socket : public counted<gossip_socket> {
+public:
+    using strand = asio::strand<asio::io_context::executor_type>;
+
+    gossip_socket(const strand& executor, datagram_sealer sealer, node_metrics& metrics);
+
+    /** Binds \p endpoint. \return a text that says why that failed. */
+    tl::expected<void, std::string> open(const std::string& endpoint);
+
+    /** Receives from now on; what cannot be opened or decoded is counted and dropped. */
+    void start(std::function<void(const gossip_message&)> received);
+
+    void send(const outgoing_gossip& outgoing);
+    void close();
+
+private:
+    static constexpr std::size_t maxDatagram = 64 * 1024;
+
+    void receive();
+    void take(std::string_view datagram);
+
+    asio::ip::udp::socket m_socket;
+    datagram_sealer m_sealer;
+    node_metrics& m_metrics;
+    std::function<void(const gossip_message&)> m_received;
+    std::array<char, maxDatagram> m_buffer;
+    asio::ip::udp::endpoint m_sender;
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/node_settings.h
@@ -0,0 +1,49 @@
+/** \file
+ * Defines node_settings, all that a node is told at start, read from JSON with comments and checked in full.
+ */
+#pragma once
+
+#include "backend_chooser.h"
+#include "checked_json.h"
+#include "ejection_budget.h"
+#include "gray_detector.h"
+#include "peer_client.h"
+#include "tls_material.h"
+
+namespace pomelohub {
+
+struct node_settings {
+    node_id node;
+    data_centre_id dataCentre;
+    std::string callersEndpoint;
+    std::string peersEndpoint;
+    std::string adminEndpoint;
+    std::string logAddress;
+    tls_files tls;
+    std::string datagramSecretsFile;
+    std::vector<peer_address> seeds;
+    std::size_t eventThreads = 2;
+    std::size_t requestThreads = 64;
+    std::size_t backendThreads = 64;
+    std::size_t maxConnections = 1000;
+    std::size_t maxHeaderBytes = 32 * 1024;
+    std::size_t maxBodyBytes = 256 * 1024 * 1024;
+    std::size_t queueLength = 200;
+    std::chrono::milliseconds usualTimeout = std::chrono::seconds(30);
+    std::chrono::milliseconds longestTimeout = std::chrono::minutes(10);
+    std::chrono::milliseconds drainTime = std::chrono::seconds(30);
+    std::chrono::milliseconds staleLimit = std::chrono::hours(6);
+    gray_policy gray;
+    ejection_policy ejection;
+};
+
+/** Reads settings. Faults are in \p errors, all of them at once; the result holds only when there are none. */
+node_settings readNodeSettings(const std::string& text, std::vector<field_error>& errors);
+
+/** The lines of a secrets file. \return a text that says what is wrong. */
+tl::expected<std::vector<std::string>, std::string> readSecrets(const std::string& path);
+
+/** The contents of a file. \return a text that says what is wrong. */
+tl::expected<std::string, std::string> readFile(const std::string& path);
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/peer_service.h
@@ -0,0 +1,35 @@
+/** \file
+ * Defines peer_service, which takes what other nodes send over their streams: requests for backend servers
+ * beside this node, keyed actions, and questions to its controllers.
+ */
+#pragma once
+
+#include "action_authority.h"
+#include "backend_host.h"
+#include "node_metrics.h"
+
+namespace pomelohub {
+
+/** Thread safety: any thread. Never blocks. */
+class peer_service : public counted<peer_service> {
+public:
+    peer_service(handle<backend_host> host, handle<action_authority> authority,
+        handle<control_plane> control, node_metrics& metrics);
+
+    /** Settles \p incoming, which the node \p peer sent. */
+    void submit(const handle<exchange>& incoming, const node_id& peer);
+
+private:
+    void answerControl(const handle<exchange>& incoming, const node_id& peer, const std::string& body);
+    void answerRate(const handle<exchange>& incoming, const node_id& peer, const std::string& body);
+    void answerEjection(const handle<exchange>& incoming, const std::string& body);
+    void answerRecords(const handle<exchange>& incoming);
+    void rejectMessage(const handle<exchange>& incoming);
+
+    handle<backend_host> m_host;
+    handle<action_authority> m_authority;
+    handle<control_plane> m_control;
+    node_metrics& m_metrics;
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/rate_client.h
@@ -0,0 +1,26 @@
+/** \file
+ * Defines rate_client, which asks the authorities for tokens on behalf of the rate filter.
+ */
+#pragma once
+
+#include "control_plane.h"
+#include "rate_filter.h"
+
+namespace pomelohub {
+
+/** Thread safety: any thread. */
+class rate_client : public counted<rate_client> {
+public:
+    rate_client(handle<control_plane> control, clock_hook clock);
+
+    /** See refill_hook. A wait ends after a fixed time at the latest. */
+    bool refill(const handle<organisation_leases>& leases, bool wait);
+
+private:
+    void ask(const rate_request& request, std::function<void(const rate_grant&)> done);
+
+    handle<control_plane> m_control;
+    clock_hook m_clock;
+};
+
+} // namespace pomelohub
