--- a/packages/node/src/admin_listener.cpp
+++ b/packages/node/src/admin_listener.cpp
@@ -1,5 +1,6 @@
 #include "admin_listener.h"
 
+#include "http_server_options.h"
 #include "parse_number.h"
 
 #include <future>
@@ -117,6 +118,7 @@
     : m_parts(std::move(parts))
 {
     m_server.new_task_queue = [] { return new httplib::ThreadPool(adminThreads); };
+    useExclusivePort(m_server);
     m_server.set_payload_max_length(maxAdminBody);
     m_server.set_tcp_nodelay(true);
     m_server.set_read_timeout(std::chrono::seconds(5));
--- a/packages/node/src/caller_listener.cpp
+++ b/packages/node/src/caller_listener.cpp
@@ -1,5 +1,6 @@
 #include "caller_listener.h"
 
+#include "http_server_options.h"
 #include "peer_client.h"
 
 #include <future>
@@ -50,6 +51,7 @@
     , m_workers(m_settings.threads)
 {
     new_task_queue = [] { return new direct_task_queue; };
+    useExclusivePort(*this);
     set_tcp_nodelay(true);
     set_keep_alive_timeout(keepAliveSeconds);
     set_keep_alive_max_count(keepAliveRequests);
--- a/packages/node/src/control_plane.cpp
+++ b/packages/node/src/control_plane.cpp
@@ -119,9 +119,12 @@
     auto from
         = fromState([&](control_state& state, const present&) { return state.nextOffset(stream); });
     auto asked = m_parts.clock().monotonic;
-    auto page = m_parts.log.read({ toText(stream), from, pageLimit, pollWait });
+    // The first read tells where the stream ends, so it must not wait for a record to come.
+    auto wait = m_hasRead.at(static_cast<std::size_t>(stream)) ? pollWait : milliseconds(0);
+    auto page = m_parts.log.read({ toText(stream), from, pageLimit, wait });
     if (!page)
         return false;
+    m_hasRead.at(static_cast<std::size_t>(stream)) = true;
     takeFromLog(stream, *page, asked);
     return true;
 }
--- a/packages/node/src/control_plane.h
+++ b/packages/node/src/control_plane.h
@@ -76,6 +76,7 @@
     asio::steady_timer m_tickTimer;
     asio::thread_pool m_appender { 1 };
     std::atomic<int> m_appendsUnderWay { 0 };
+    std::array<std::atomic<bool>, 2> m_hasRead {}; ///< By stream.
     arrival_count m_changes;
     std::pair<std::uint64_t, std::uint64_t> m_lastOffsets;
     std::atomic<bool> m_stopping { false };
--- a/test/standins/backend_server.cpp
+++ b/test/standins/backend_server.cpp
@@ -2,6 +2,8 @@
  * Stand-in for a backend server, after docs/PLATFORM.md: announces itself to the node beside it, starts cold,
  * drains, sheds, and counts what it ran. Its behaviour can be set while it runs with PUT /control.
  */
+#include "http_server_options.h"
+
 #include <CLI/CLI.hpp>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -246,6 +248,7 @@
     CLI11_PARSE(app, argc, argv);
     httplib::Server server;
     server.new_task_queue = [] { return new httplib::ThreadPool(64); };
+    pomelohub::useExclusivePort(server);
     server.set_tcp_nodelay(true);
     server.set_keep_alive_max_count(1'000'000);
     server.set_keep_alive_timeout(30);
--- a/test/standins/log_service.cpp
+++ b/test/standins/log_service.cpp
@@ -2,6 +2,8 @@
  * Stand-in for the platform's append-only log, in memory, after docs/PLATFORM.md. Its faults can be set while it
  * runs: PUT /faults {"mode": "none" | "away" | "lose-answers", "delay_ms": 0}.
  */
+#include "http_server_options.h"
+
 #include <CLI/CLI.hpp>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -160,6 +162,7 @@
     CLI11_PARSE(app, argc, argv);
     httplib::Server server;
     server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    pomelohub::useExclusivePort(server);
     server.set_tcp_nodelay(true);
     log_service service(keep);
     service.attach(server);
