--- a/packages/decisions/src/membership.cpp
+++ b/packages/decisions/src/membership.cpp
@@ -227,7 +227,6 @@
     std::vector<outgoing_gossip> out;
     if (message.from.node == m_self.life.node)
         return out;
-    m_lastHeard = now;
     merge(message.news, now);
     switch (message.kind) {
     case gossip_kind::probe:
@@ -250,6 +249,15 @@
     return out;
 }
 
+std::optional<instant> membership::probedAt(const gossip_message& answer) const
+{
+    if (answer.kind != gossip_kind::acknowledgement)
+        return std::nullopt;
+    auto found = std::find_if(m_probes.begin(), m_probes.end(),
+        [&](const pending_probe& probe) { return probe.sequence == answer.sequence; });
+    return found == m_probes.end() ? std::nullopt : std::optional(found->sentAt);
+}
+
 void membership::acknowledge(
     const gossip_message& message, std::vector<outgoing_gossip>& out, const log_cursors& cursors)
 {
--- a/packages/decisions/src/membership.h
+++ b/packages/decisions/src/membership.h
@@ -123,8 +123,9 @@
     /** Live members with this node. */
     std::size_t liveCount() const;
 
-    /** When a datagram from any other member was last received. */
-    instant lastHeard() const { return m_lastHeard; }
+    /** When the probe that \p answer answers was sent, or nothing when it answers none of this node's. What the
+     * answer says was true then or later; a datagram alone may have waited for any time. Ask before receive(). */
+    std::optional<instant> probedAt(const gossip_message& answer) const;
 
 private:
     struct pending_probe {
@@ -172,7 +173,6 @@
     std::map<std::uint64_t, relayed_probe> m_relayed;
     std::uint64_t m_sequence = 0;
     instant m_nextProbe {};
-    instant m_lastHeard {};
 };
 
 } // namespace pomelohub
--- a/packages/decisions/src/rate_ledger.cpp
+++ b/packages/decisions/src/rate_ledger.cpp
@@ -74,7 +74,7 @@
     bucket.outstanding.erase(found);
 }
 
-void rate_ledger::accrue(bucket& bucket, instant now)
+void rate_ledger::accrue(bucket& bucket, instant now) const
 {
     std::erase_if(bucket.outstanding, [&](const auto& entry) { return entry.second.expires <= now; });
     double held = 0;
@@ -82,7 +82,9 @@
         held += grant.tokens;
     auto seconds = std::chrono::duration<double>(now - bucket.accruedAt).count();
     bucket.accruedAt = std::max(bucket.accruedAt, now);
-    auto grown = bucket.level + std::max(0.0, seconds) * bucket.share.tokensPerSecond;
+    // A clock that runs fast must not raise the rate.
+    auto rate = bucket.share.tokensPerSecond * (1000 - m_clockRateError) / 1000;
+    auto grown = bucket.level + std::max(0.0, seconds) * rate;
     bucket.level = std::max(0.0, std::min(grown, bucket.share.burst - held));
 }
 
--- a/packages/decisions/src/rate_ledger.h
+++ b/packages/decisions/src/rate_ledger.h
@@ -90,7 +90,7 @@
     bucket& bucketFor(const rate_part& part, const rate_share& share, instant now);
     static std::chrono::milliseconds timeToToken(const bucket& bucket);
     static void settle(bucket& bucket, const rate_request& request);
-    static void accrue(bucket& bucket, instant now);
+    void accrue(bucket& bucket, instant now) const;
 
     std::chrono::milliseconds m_lifetime;
     int m_clockRateError;
--- a/packages/decisions/src/slot_controller.h
+++ b/packages/decisions/src/slot_controller.h
@@ -18,7 +18,7 @@
     /** Longest time for which a holder's grants outlive its right. */
     duration grantLifetime = std::chrono::seconds(1);
     /** Largest difference of the rates of two clocks, in thousandths. */
-    int clockRateError = 10;
+    int clockRateError = 1;
     /** How long a better placed member must have been alive before a slot moves to it. */
     duration settleTime = std::chrono::seconds(5);
     /** How often a holder repeats its slots for the log's retention. */
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -319,8 +319,10 @@
 std::vector<outgoing_gossip> control_state::takeGossip(
     const gossip_message& message, const present& now)
 {
+    auto probedAt = m_members.probedAt(message);
     auto out = m_members.receive(message, cursors(now.monotonic), now.monotonic);
-    m_lastPeerContact = m_members.lastHeard();
+    if (probedAt)
+        m_lastPeerContact = *probedAt;
     if (message.kind == gossip_kind::report)
         m_confirmations.note(message.from, message.cursors.configuration);
     bool isAhead = message.cursors.configuration > nextOffset(log_stream::configuration)
@@ -330,8 +332,8 @@
         m_aheadSince = now.monotonic;
     }
     // A peer that has seen the log's end vouches for it, if this node has read as far.
-    if (message.cursors.fleet <= nextOffset(log_stream::fleet))
-        m_slots.noteEvidence(now.monotonic - message.cursors.evidenceAge);
+    if (probedAt && message.cursors.fleet <= nextOffset(log_stream::fleet))
+        m_slots.noteEvidence(*probedAt - message.cursors.evidenceAge);
     publishMembers();
     return out;
 }
--- /dev/null
+++ b/test/correctness/request_filters.cpp
@@ -0,0 +1,158 @@
+/** \file
+ * The filters of the entry node: what each lets through and refuses, and in which order.
+ */
+#include "configuration_controller.h"
+#include "entry_filters.h"
+#include "hashing.h"
+#include "retry_policy.h"
+
+#include <doctest/doctest.h>
+
+using namespace pomelohub;
+using std::chrono::milliseconds;
+
+namespace {
+
+const present now { instant(std::chrono::hours(1)), wall_time(std::chrono::hours(500'000)) };
+
+/** A configuration with one service and one organisation, and the chain over it. */
+struct entry_fixture {
+    entry_fixture()
+    {
+        service content { service_id("s"), { "host" },
+            { { "read", "GET", "/", true, false }, { "open", "GET", "/open", true, true },
+                { "act", "POST", "/act", false, false } } };
+        organisation caller { organisation_id("org"), { sha256("key") }, 100, 100 };
+        std::vector<placed_record> records {
+            { 0, { "1", { resource_kind::service, "s" }, 0, std::nullopt, content } },
+            { 1, { "2", { resource_kind::organisation, "org" }, 0, std::nullopt, caller } },
+        };
+        controller.apply(records);
+    }
+    verdict refuse(request_context& context)
+    {
+        std::string_view refusedBy;
+        return chain.run(context, now, refusedBy).error();
+    }
+    static request_context makeRequest(const std::string& method, const std::string& path)
+    {
+        request_context context;
+        context.method = method;
+        context.host = "host";
+        context.path = path;
+        context.key = "key";
+        return context;
+    }
+
+    configuration_controller controller;
+    token_leases leases;
+    node_readiness readiness = node_readiness::ready;
+    bool hasTokens = true;
+    request_chain chain = makeEntryChain({ controller.table(), leases, [this](instant) { return readiness; },
+        [this](const handle<organisation_leases>& held, bool) {
+            if (hasTokens)
+                takeGrant(*held, 0, { 1, 5, milliseconds(1000) }, now.monotonic);
+            return hasTokens;
+        },
+        [] { return now; }, {} });
+};
+
+} // namespace
+
+TEST_CASE("a good request passes, and its key is taken out")
+{
+    entry_fixture entry;
+    auto context = entry_fixture::makeRequest("GET", "/x");
+    std::string_view refusedBy;
+    REQUIRE(entry.chain.run(context, now, refusedBy));
+    CHECK_FALSE(context.key);
+    CHECK(context.caller()->id == organisation_id("org"));
+    CHECK(context.deadline == now.monotonic + std::chrono::seconds(30));
+}
+
+TEST_CASE("each filter refuses what it is there for, always as not run")
+{
+    entry_fixture entry;
+    auto check = [&](request_context context, refusal_reason reason) {
+        auto why = entry.refuse(context);
+        CHECK(why.reason == reason);
+        CHECK(why.outcome == execution::notRun);
+    };
+    auto context = entry_fixture::makeRequest("GET", "/x");
+    context.timeout = milliseconds(0);
+    check(context, refusal_reason::deadlineExceeded);
+    context = entry_fixture::makeRequest("GET", "/x");
+    context.host = "other";
+    check(context, refusal_reason::routeUnknown);
+    check(entry_fixture::makeRequest("PUT", "/x"), refusal_reason::routeUnknown);
+    context = entry_fixture::makeRequest("GET", "/x");
+    context.key = "wrong";
+    check(context, refusal_reason::keyUnknown);
+    context.key.reset();
+    check(context, refusal_reason::keyMissing);
+    check(entry_fixture::makeRequest("POST", "/act"), refusal_reason::idempotencyKeyMissing);
+    entry.hasTokens = false;
+    check(entry_fixture::makeRequest("GET", "/x"), refusal_reason::rateExceeded);
+    entry.readiness = node_readiness::isolated;
+    check(entry_fixture::makeRequest("GET", "/x"), refusal_reason::nodeIsolated);
+}
+
+TEST_CASE("an open route needs no key and uses no rate")
+{
+    entry_fixture entry;
+    entry.hasTokens = false;
+    auto context = entry_fixture::makeRequest("GET", "/open/x");
+    context.key.reset();
+    std::string_view refusedBy;
+    CHECK(entry.chain.run(context, now, refusedBy));
+}
+
+TEST_CASE("a withdrawn key is seen by a stream that is under way")
+{
+    entry_fixture entry;
+    auto context = entry_fixture::makeRequest("GET", "/x");
+    std::string_view refusedBy;
+    REQUIRE(entry.chain.run(context, now, refusedBy));
+    CHECK(isKeyInForce(entry.controller.table(), context));
+    organisation without { organisation_id("org"), {}, 100, 100 };
+    placed_record record { 2, { "3", { resource_kind::organisation, "org" }, 2, std::nullopt, without } };
+    entry.controller.apply(std::span(&record, 1));
+    CHECK_FALSE(isKeyInForce(entry.controller.table(), context));
+}
+
+TEST_CASE("a prefix matches whole segments, and the longest one wins")
+{
+    std::vector<route> routes { { "a", "*", "/bids", true, false }, { "b", "POST", "/bids/new", false, false } };
+    CHECK(matchRoute(routes, "GET", "/bids/7")->id == "a");
+    CHECK(matchRoute(routes, "POST", "/bids/new")->id == "b");
+    CHECK(matchRoute(routes, "GET", "/bidsx") == nullptr);
+}
+
+TEST_CASE("a request that may have run is tried again only when it is idempotent")
+{
+    failed_attempt attempt { { execution::mayHaveRun, refusal_reason::pathFailed, "", {} }, 1, false, true,
+        now.monotonic + milliseconds(10) };
+    CHECK_FALSE(mayRetry(attempt, {}, now.monotonic));
+    attempt.isIdempotent = true;
+    CHECK(mayRetry(attempt, {}, now.monotonic));
+    attempt.isBodyReplayable = false;
+    CHECK_FALSE(mayRetry(attempt, {}, now.monotonic));
+    attempt = { { execution::notRun, refusal_reason::backendServerShed, "", {} }, 1, false, true,
+        now.monotonic + milliseconds(10) };
+    CHECK(mayRetry(attempt, {}, now.monotonic));
+    CHECK_FALSE(mayRetry(attempt, {}, now.monotonic + milliseconds(10)));
+    attempt.attempts = 3;
+    CHECK_FALSE(mayRetry(attempt, {}, now.monotonic));
+}
+
+TEST_CASE("retries cannot grow beyond their share of requests")
+{
+    retry_budget budget(20, 2);
+    CHECK(budget.tryTake());
+    CHECK(budget.tryTake());
+    CHECK_FALSE(budget.tryTake());
+    for (int i = 0; i < 5; ++i)
+        budget.noteRequest();
+    CHECK(budget.tryTake());
+    CHECK_FALSE(budget.tryTake());
+}
