Prove the promises with real processes under failure, and mend what failed

Causes and changes: - P10, refusals "node-leaving" to callers of a leaving node: its own view kept its own backend servers as candidates, and the retry budget ran out. It now takes them out of its view when it leaves. - P10, a kept connection closed under its caller: an answer that began before the drain did not say Connection: close, yet was the last one. The answer and the closing now follow the same reading of the flag. A connection that was accepted and had not sent its first request was closed at shut-down; it gets 500 ms. - P2, a restarted node never saw members whose news was old (a gap of its view of 2 of 4 nodes that lasted until the test's bound of 30 s): it takes all records from one peer when it joins, and again when view digests stay different for 3 s; the pause between such exchanges grows with the fleet. - A new node could not start while the log was away: it now takes its state from a peer then. Ruled out for P9: the node; the test read a reference into a temporary, and the stand-in's /control was shadowed by its handlers with a reader.

--- a/packages/decisions/src/membership.cpp
+++ b/packages/decisions/src/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership.h"
 
+#include "hashing.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -21,6 +23,13 @@
     /** One probe in this many also goes to a member thought dead, so that cuts heal. */
     constexpr std::uint64_t healInterval = 8;
 
+    std::uint64_t digestOf(const member_record& record)
+    {
+        auto text = record.life.node.text() + '/' + std::to_string(record.life.life) + '/'
+            + std::to_string(record.revision) + '/' + std::string(toText(record.status));
+        return stableHash(text);
+    }
+
     /** Estimated bytes of \p record in a datagram. */
     std::size_t sizeOf(const member_record& record)
     {
@@ -51,6 +60,7 @@
     message.from = m_self.life;
     message.fromEndpoint = m_self.endpoint;
     message.cursors = cursors;
+    message.viewDigest = viewDigest();
     message.news = takeNews();
     return message;
 }
@@ -216,6 +226,7 @@
         if (isPresent(entry.second.status) || now - m_statusSince[entry.first] < m_policy.forgetAfter)
             return false;
         m_statusSince.erase(entry.first);
+        m_othersDigest ^= digestOf(entry.second);
         std::erase_if(m_news, [&](const news_item& item) { return item.node == entry.first; });
         return true;
     });
@@ -289,6 +300,9 @@
         return;
     if (isNew || found->second.status != record.status || found->second.life != record.life)
         m_statusSince[record.life.node] = now;
+    if (!isNew)
+        m_othersDigest ^= digestOf(found->second);
+    m_othersDigest ^= digestOf(record);
     found->second = record;
     spread(record.life.node);
     m_changed(record);
@@ -331,6 +345,8 @@
     return records;
 }
 
+std::uint64_t membership::viewDigest() const { return m_othersDigest ^ digestOf(m_self); }
+
 std::size_t membership::liveCount() const
 {
     return 1 + static_cast<std::size_t>(std::count_if(
--- a/packages/decisions/src/membership.h
+++ b/packages/decisions/src/membership.h
@@ -72,6 +72,7 @@
     node_id target;
     std::string targetEndpoint;
     log_cursors cursors;
+    std::uint64_t viewDigest = 0; ///< Equal when two nodes have the same records.
     std::vector<member_record> news;
 };
 
@@ -120,6 +121,9 @@
     /** All records with the own one. The pointers hold until the next change. */
     std::vector<const member_record*> all() const;
 
+    /** Digest of all records. Two nodes whose digests stay different have missed news of each other. */
+    std::uint64_t viewDigest() const;
+
     /** Live members with this node. */
     std::size_t liveCount() const;
 
@@ -167,6 +171,7 @@
     change_hook m_changed;
     std::map<node_id, member_record> m_others;
     std::map<node_id, instant> m_statusSince;
+    std::uint64_t m_othersDigest = 0;
     std::vector<news_item> m_news;
     std::vector<node_id> m_round; ///< Members still to be probed in this round, in random order.
     std::vector<pending_probe> m_probes;
--- a/packages/messages/src/node_messages.cpp
+++ b/packages/messages/src/node_messages.cpp
@@ -152,7 +152,8 @@
 std::string encode(const gossip_message& message)
 {
     return pack(json::array({ message.kind, message.sequence, toArray(message.from), message.fromEndpoint,
-        message.target.text(), message.targetEndpoint, toArray(message.cursors), toArray(message.news) }));
+        message.target.text(), message.targetEndpoint, toArray(message.cursors),
+        message.viewDigest, toArray(message.news) }));
 }
 
 std::optional<gossip_message> decodeGossip(std::string_view bytes)
@@ -166,7 +167,8 @@
         message.target = node_id(value.at(4));
         message.targetEndpoint = value.at(5);
         message.cursors = readCursors(value.at(6));
-        message.news = readMembers(value.at(7));
+        message.viewDigest = value.at(7);
+        message.news = readMembers(value.at(8));
         return message;
     });
 }
--- a/packages/node/src/caller_listener.cpp
+++ b/packages/node/src/caller_listener.cpp
@@ -2,6 +2,7 @@
 
 #include "http_server_options.h"
 #include "peer_client.h"
+#include "token_leases.h"
 
 #include <future>
 
@@ -16,6 +17,7 @@
         void shutdown() override { }
     };
 
+    constexpr duration firstRequestTime = std::chrono::milliseconds(500);
     constexpr time_t keepAliveSeconds = 60;
     constexpr std::size_t keepAliveRequests = 1'000'000;
 
@@ -87,7 +89,7 @@
 
 void caller_listener::park(const handle<caller_stream>& stream)
 {
-    if (m_isShutDown)
+    if (m_isClosingIdle)
         return end(stream);
     handle<parked_connection> parked(new parked_connection(m_io, stream));
     m_parked.insert(parked);
@@ -95,7 +97,7 @@
         asio::bind_executor(m_strand, [this, parked](const asio::error_code& error) {
             m_parked.erase(parked);
             parked->descriptor.release();
-            if (error || m_isShutDown)
+            if (error || m_isClosingIdle)
                 return end(parked->stream);
             ++m_busy;
             asio::post(m_workers, [this, stream = parked->stream] { serve(stream); });
@@ -117,15 +119,17 @@
 bool caller_listener::serveOne(caller_stream& stream)
 {
     stream.beginHead();
+    // An answer that did not say so must not be the last one of its connection.
+    bool closesAfter = m_draining;
     bool isClosed = false;
-    bool isServed = process_request(stream, m_draining, isClosed,
+    bool isServed = process_request(stream, closesAfter, isClosed,
         [this, &stream](httplib::Request& request) { prepare(request, stream); });
     if (stream.isHeadOverLimit()) {
         m_badInput("callers");
         stream.write(headTooLarge.data(), headTooLarge.size());
         return false;
     }
-    return isServed && !isClosed && !m_draining;
+    return isServed && !isClosed && !closesAfter;
 }
 
 void caller_listener::prepare(httplib::Request& request, caller_stream& stream) const
@@ -149,10 +153,15 @@
 {
     if (m_isShutDown.exchange(true))
         return;
+    m_draining = true;
     if (m_acceptThread.joinable()) {
         stop();
         m_acceptThread.join();
+        // A connection that was just accepted has yet to send its first request.
+        arrival_count never;
+        never.waitBeyond(0, m_clock().monotonic + firstRequestTime);
     }
+    m_isClosingIdle = true;
     std::promise<void> closed;
     asio::post(m_strand, [&] {
         for (const auto& parked : m_parked)
--- a/packages/node/src/caller_listener.h
+++ b/packages/node/src/caller_listener.h
@@ -68,6 +68,7 @@
     std::atomic<std::size_t> m_busy { 0 };
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_isShutDown { false };
+    std::atomic<bool> m_isClosingIdle { false };
 };
 
 /** Header under which a request's content encoding passes cpp-httplib, which would undo it otherwise. */
--- a/packages/node/src/control_plane.cpp
+++ b/packages/node/src/control_plane.cpp
@@ -122,13 +122,24 @@
     // The first read tells where the stream ends, so it must not wait for a record to come.
     auto wait = m_hasRead.at(static_cast<std::size_t>(stream)) ? pollWait : milliseconds(0);
     auto page = m_parts.log.read({ toText(stream), from, pageLimit, wait });
-    if (!page)
+    if (!page) {
+        startWithoutLog(stream);
         return false;
+    }
     m_hasRead.at(static_cast<std::size_t>(stream)) = true;
     takeFromLog(stream, *page, asked);
     return true;
 }
 
+void control_plane::startWithoutLog(log_stream stream)
+{
+    bool isStarting = fromState([](control_state& state, const present& now) {
+        return state.readiness(now.monotonic) == node_readiness::starting;
+    });
+    if (isStarting && stream == log_stream::configuration)
+        fetchStartState();
+}
+
 void control_plane::takeFromLog(log_stream stream, const log_page& page, instant asked)
 {
     bool hasGap = fromState(
@@ -143,21 +154,9 @@
     });
 }
 
-std::optional<peer_address> control_plane::anyPeer(const control_state& state) const
-{
-    std::vector<peer_address> peers;
-    for (const auto& [node, record] : state.members().others()) {
-        if (isPresent(record.status))
-            peers.push_back({ node, record.endpoint });
-    }
-    if (peers.empty())
-        return std::nullopt;
-    return peers[m_parts.random(peers.size())];
-}
-
 bool control_plane::fetchStartState()
 {
-    auto peer = fromState([&](control_state& state, const present&) { return anyPeer(state); });
+    auto peer = fromState([](control_state& state, const present&) { return state.anyPeer(); });
     if (!peer)
         return false;
     std::promise<result<std::string>> answer;
@@ -220,6 +219,8 @@
         append(std::move(out.appends), [] {});
     for (const auto& request : out.ejections)
         askForPermit(request);
+    if (out.membersFrom)
+        takeMembersFrom(*out.membersFrom);
     if (!out.catchUpFrom)
         return;
     catchUp(*out.catchUpFrom, log_stream::configuration);
@@ -274,6 +275,19 @@
         });
 }
 
+void control_plane::takeMembersFrom(const peer_address& peer)
+{
+    ask(peer, std::string(control_path::members), "", askTimeout,
+        [self = handle<control_plane>(this)](const result<std::string>& given) {
+            auto members = given ? decodeMembers(*given) : std::nullopt;
+            if (!members)
+                return;
+            self->withState([members = *members](control_state& state, const present& now) {
+                state.takeMembers(members, now);
+            });
+        });
+}
+
 void control_plane::catchUp(const peer_address& peer, log_stream stream)
 {
     auto from = m_parts.state.nextOffset(stream);
--- a/packages/node/src/control_plane.h
+++ b/packages/node/src/control_plane.h
@@ -63,13 +63,14 @@
     bool waitBeforeRetry(std::uint32_t failures);
     void takeFromLog(log_stream stream, const log_page& page, instant asked);
     bool fetchStartState();
+    void startWithoutLog(log_stream stream);
     template <typename F> auto fromState(F&& read);
     void scheduleTick();
     void carryOut(control_outputs out);
     void append(std::vector<append_request> requests, std::function<void()> done);
     void askForPermit(const ejection_request& request);
+    void takeMembersFrom(const peer_address& peer);
     void catchUp(const peer_address& peer, log_stream stream);
-    std::optional<peer_address> anyPeer(const control_state& state) const;
     void runAppends(std::vector<append_request> requests, std::function<void()> done);
 
     control_plane_parts m_parts;
@@ -90,6 +91,7 @@
     inline constexpr std::string_view rate = "/control/rate";
     inline constexpr std::string_view ejection = "/control/ejection";
     inline constexpr std::string_view startState = "/control/start-state";
+    inline constexpr std::string_view members = "/control/members";
     inline constexpr std::string_view records = "/control/records/";
 }
 
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -15,6 +15,10 @@
     constexpr duration trimInterval = std::chrono::seconds(30);
     constexpr duration ejectionAskInterval = milliseconds(500);
     constexpr duration catchUpDelay = milliseconds(300);
+    /** How long views may differ before a node takes another's records. */
+    constexpr duration differingTime = std::chrono::seconds(3);
+    constexpr duration shortestSyncPause = std::chrono::seconds(1);
+    constexpr duration syncPauseForMember = milliseconds(150);
     constexpr duration restateRound = std::chrono::hours(4);
     constexpr milliseconds grantLifetime { 1000 };
     constexpr std::size_t keptRecords = 2000;
@@ -283,11 +287,18 @@
         if (known.holder)
             state.slots.push_back({ slot_change::restate, *known.holder, { slot }, { known.term } });
     }
-    for (const auto* member : m_members.all())
-        state.members.push_back(*member);
+    state.members = memberRecords();
     return state;
 }
 
+std::vector<member_record> control_state::memberRecords() const
+{
+    std::vector<member_record> records;
+    for (const auto* member : m_members.all())
+        records.push_back(*member);
+    return records;
+}
+
 void control_state::takeStartState(const start_state& state, const present& now)
 {
     m_configuration.load(state.configuration);
@@ -298,6 +309,7 @@
         fleetNext = state.fleetNext;
     }
     m_members.merge(state.members, now.monotonic);
+    m_hasMembers = true;
     m_lastPeerContact = now.monotonic;
     m_hasConfiguration = true;
     publishSlots(now);
@@ -321,8 +333,10 @@
 {
     auto probedAt = m_members.probedAt(message);
     auto out = m_members.receive(message, cursors(now.monotonic), now.monotonic);
-    if (probedAt)
+    if (probedAt) {
         m_lastPeerContact = *probedAt;
+        noteView(message, now.monotonic);
+    }
     if (message.kind == gossip_kind::report)
         m_confirmations.note(message.from, message.cursors.configuration);
     bool isAhead = message.cursors.configuration > nextOffset(log_stream::configuration)
@@ -338,6 +352,53 @@
     return out;
 }
 
+void control_state::noteView(const gossip_message& answer, instant now)
+{
+    if (answer.viewDigest == m_members.viewDigest()) {
+        m_differing.reset();
+        return;
+    }
+    if (!m_differing)
+        m_differingSince = now;
+    m_differing = peer_address { answer.from.node, answer.fromEndpoint };
+}
+
+void control_state::syncMembers(control_outputs& out, instant now)
+{
+    if (now < m_nextMemberSync || m_members.others().empty())
+        return;
+    bool isOverdue = m_differing && now - m_differingSince >= differingTime;
+    if (m_hasMembers && !isOverdue)
+        return;
+    // News that a node missed are not sent again, so it takes all records from one peer. The pause grows
+    // with the fleet, which keeps the bytes a second the same.
+    m_nextMemberSync = now + std::max(shortestSyncPause, syncPauseForMember * static_cast<std::int64_t>(m_members.liveCount()));
+    if (m_differing)
+        out.membersFrom = m_differing;
+    else
+        out.membersFrom = anyPeer();
+    m_differing.reset();
+}
+
+std::optional<peer_address> control_state::anyPeer() const
+{
+    std::vector<peer_address> peers;
+    for (const auto& [node, record] : m_members.others()) {
+        if (isPresent(record.status))
+            peers.push_back({ node, record.endpoint });
+    }
+    if (peers.empty())
+        return std::nullopt;
+    return peers[m_hooks.random(peers.size())];
+}
+
+void control_state::takeMembers(const std::vector<member_record>& members, const present& now)
+{
+    m_members.merge(members, now.monotonic);
+    m_hasMembers = true;
+    publishMembers();
+}
+
 void control_state::join(const std::vector<peer_address>& seeds, const present& now)
 {
     std::vector<member_record> records;
@@ -383,6 +444,7 @@
         m_nextSlotTick = now.monotonic + slotInterval;
         appendSlotRecords(out, m_slots.tick(now.monotonic));
     }
+    syncMembers(out, now.monotonic);
     if (now.monotonic >= m_nextReport)
         report(out, now);
     if (now.monotonic >= m_nextJudgement)
@@ -487,6 +549,10 @@
     control_outputs out;
     appendSlotRecords(out, m_slots.leave());
     out.datagrams = m_members.leave(cursors(now.monotonic));
+    // This node's own requests go elsewhere too.
+    m_registry.update(m_members.self());
+    m_membersChanged = true;
+    publishMembers();
     return out;
 }
 
--- a/packages/node/src/control_state.h
+++ b/packages/node/src/control_state.h
@@ -52,6 +52,7 @@
     std::vector<append_request> appends;
     std::vector<ejection_request> ejections;
     std::optional<peer_address> catchUpFrom; ///< A peer that knows more of the log.
+    std::optional<peer_address> membersFrom; ///< A peer whose member records this node should take in.
 };
 
 /** Hooks out of the state. */
@@ -83,9 +84,12 @@
     void takeRelayedPage(log_stream stream, const log_page& page, const present& now);
     void takeStartState(const start_state& state, const present& now);
     start_state startState() const;
+    std::vector<member_record> memberRecords() const;
     log_page recentRecords(log_stream stream, std::uint64_t from) const;
+    std::optional<peer_address> anyPeer() const;
     std::uint64_t nextOffset(log_stream stream) const;
     bool needsStartState(log_stream stream, const log_page& page) const;
+    void takeMembers(const std::vector<member_record>& members, const present& now);
     std::vector<outgoing_gossip> takeGossip(const gossip_message& message, const present& now);
     void join(const std::vector<peer_address>& seeds, const present& now);
     append_request joinRecord() const;
@@ -138,6 +142,8 @@
     void updateSlotMembers();
     void appendSlotRecords(control_outputs& out, std::vector<slot_record> records) const;
     void report(control_outputs& out, const present& now);
+    void syncMembers(control_outputs& out, instant now);
+    void noteView(const gossip_message& answer, instant now);
     void judgeBackends(control_outputs& out, const present& now);
     void restateConfiguration(control_outputs& out, const present& now);
     void updateRamp(const present& now);
@@ -171,6 +177,10 @@
     std::map<service_id, instant> m_nextEjectionAsk;
     std::optional<peer_address> m_ahead; ///< A peer that has read further, with the time it was seen.
     instant m_aheadSince {};
+    std::optional<peer_address> m_differing; ///< A peer with other member records.
+    instant m_differingSince {};
+    instant m_nextMemberSync {};
+    bool m_hasMembers = false;
     instant m_nextJudgement {};
     instant m_nextReport {};
     instant m_nextSlotTick {};
--- a/packages/node/src/peer_service.cpp
+++ b/packages/node/src/peer_service.cpp
@@ -67,6 +67,10 @@
         return answerEjection(incoming, body);
     if (path.starts_with(control_path::records))
         return answerRecords(incoming);
+    if (path == control_path::members)
+        return m_control->withState([incoming](control_state& state, const present&) {
+            answer(incoming, encode(state.memberRecords()));
+        });
     if (path != control_path::startState)
         return rejectMessage(incoming);
     m_control->withState([incoming](control_state& state, const present& now) {
--- a/test/standins/backend_server.cpp
+++ b/test/standins/backend_server.cpp
@@ -43,8 +43,15 @@
 
     void attach(httplib::Server& server)
     {
-        server.Put("/control", [this](const httplib::Request& request, httplib::Response& response) {
-            control(json::parse(request.body), response);
+        // Handlers with a reader go before those without, so this one has a reader too.
+        server.Put("/control", [this](const httplib::Request&, httplib::Response& response,
+                                   const httplib::ContentReader& reader) {
+            std::string body;
+            reader([&](const char* data, std::size_t size) {
+                body.append(data, size);
+                return true;
+            });
+            control(json::parse(body), response);
         });
         server.Get("/counts", [this](const httplib::Request&, httplib::Response& response) {
             response.set_content(counts().dump(), "application/json");
