--- a/packages/decisions/src/action_ledger.cpp
+++ b/packages/decisions/src/action_ledger.cpp
@@ -42,8 +42,7 @@
 {
 }
 
-result<ledger_decision> action_ledger::begin(
-    const action_key& key, const digest& request, wall_time now)
+result<ledger_decision> action_ledger::begin(const action_key& key, const digest& request, wall_time now)
 {
     // A wall clock that is set back must not bring back keys whose entries were dropped.
     m_latest = std::max(m_latest, now);
@@ -69,8 +68,8 @@
         return mayHaveRun(refusal_reason::idempotencyKeyExpired,
             "the key is older than this authority's memory, so the request may have run before");
     if (m_actions.size() >= m_policy.maxEntries)
-        return notRun(refusal_reason::backendServerBusy, "the memory of actions is full",
-            std::chrono::seconds(1));
+        return notRun(
+            refusal_reason::backendServerBusy, "the memory of actions is full", std::chrono::seconds(1));
     m_actions.emplace(name, action { slot, request, *issued, phase::running, {} });
     return ledger_decision(run_action {});
 }
@@ -85,8 +84,8 @@
     case phase::answered:
         return ledger_decision(replay_answer { known.answer });
     case phase::answerDropped:
-        return mayHaveRun(refusal_reason::backendServerFailed,
-            "the request ran, but its answer was too large to be kept");
+        return mayHaveRun(
+            refusal_reason::backendServerFailed, "the request ran, but its answer was too large to be kept");
     case phase::unknown:
         break;
     }
--- a/packages/decisions/src/backend_chooser.cpp
+++ b/packages/decisions/src/backend_chooser.cpp
@@ -14,8 +14,8 @@
         return std::find(tried.begin(), tried.end(), id) != tried.end();
     }
 
-    bool isUsable(const backend_entry& entry, std::span<const backend_server_id> tried,
-        const chooser_policy& policy)
+    bool isUsable(
+        const backend_entry& entry, std::span<const backend_server_id> tried, const chooser_policy& policy)
     {
         if (entry.condition == backend_condition::draining || entry.stats->ejected.load())
             return false;
--- a/packages/decisions/src/configuration_controller.cpp
+++ b/packages/decisions/src/configuration_controller.cpp
@@ -4,8 +4,8 @@
 
 namespace pomelohub {
 
-static constexpr std::array<std::string_view, 6> outcomeTexts { "applied", "repeated", "conflict", "key-taken",
-    "restated", "stale" };
+static constexpr std::array<std::string_view, 6> outcomeTexts { "applied", "repeated", "conflict",
+    "key-taken", "restated", "stale" };
 
 std::string_view toText(record_outcome outcome) { return outcomeTexts.at(static_cast<std::size_t>(outcome)); }
 
--- a/packages/decisions/src/confirmation_controller.h
+++ b/packages/decisions/src/confirmation_controller.h
@@ -17,8 +17,7 @@
 class confirmation_controller {
 public:
     /** The member of \p dataCentre that collects its reports, or nothing when it has no live member. */
-    static const member_record* reporterOf(
-        const data_centre_id& dataCentre, member_list members);
+    static const member_record* reporterOf(const data_centre_id& dataCentre, member_list members);
 
     /** Notes that \p member has applied all records before \p offset. */
     void note(const node_life& member, std::uint64_t offset);
@@ -27,8 +26,7 @@
     void retain(member_list members);
 
     /** The lowest offset among live members of \p dataCentre, 0 while one of them has not reported. */
-    std::uint64_t confirmedIn(
-        const data_centre_id& dataCentre, member_list members) const;
+    std::uint64_t confirmedIn(const data_centre_id& dataCentre, member_list members) const;
 
     /** The offset before which every record is in force at every live member, as this node knows. */
     static std::uint64_t inForce(member_list members);
--- a/packages/decisions/src/gray_detector.cpp
+++ b/packages/decisions/src/gray_detector.cpp
@@ -18,7 +18,8 @@
 
     double failureShareOf(const backend_window& window)
     {
-        return window.answers ? static_cast<double>(window.failures) / static_cast<double>(window.answers) : 0;
+        return window.answers ? static_cast<double>(window.failures) / static_cast<double>(window.answers)
+                              : 0;
     }
 
     std::chrono::microseconds meanLatencyOf(const backend_window& window)
@@ -66,11 +67,13 @@
         return own.stuck > 0 && others.answers >= m_policy.minimumAnswers;
     if (own.answers < m_policy.minimumAnswers || others.answers < m_policy.minimumAnswers)
         return false;
-    if (failureShareOf(own) > m_policy.failureShare + failureShareOf(others))
+    if (own.failures >= m_policy.minimumFailures
+        && failureShareOf(own) > m_policy.failureShare + failureShareOf(others))
         return true;
     auto usual = meanLatencyOf(others);
-    return meanLatencyOf(own) > usual * m_policy.slowFactor
-        && meanLatencyOf(own) > usual + m_policy.slowMargin;
+    // The mean of few answers strays further by chance.
+    auto factor = m_policy.slowFactor * (1 + m_policy.scarceAnswers / static_cast<double>(own.answers));
+    return meanLatencyOf(own) > usual * factor && meanLatencyOf(own) > usual + m_policy.slowMargin;
 }
 
 void gray_detector::noteTick(history& past, bool bad) const
--- a/packages/decisions/src/gray_detector.h
+++ b/packages/decisions/src/gray_detector.h
@@ -20,14 +20,15 @@
 };
 
 /** Judges one window against the sum of the others of its service; replaced to measure other policies. */
-using gray_judgement_hook
-    = std::function<bool(const backend_window& own, const backend_window& others)>;
+using gray_judgement_hook = std::function<bool(const backend_window& own, const backend_window& others)>;
 
 struct gray_policy {
     std::uint32_t windowTicks = 4; ///< Ticks that make up a window.
-    std::uint32_t minimumAnswers = 6; ///< Fewer answers in a window prove nothing.
+    std::uint32_t minimumAnswers = 3; ///< Fewer answers in a window prove nothing.
+    std::uint32_t minimumFailures = 2; ///< One failure may be chance.
     double failureShare = 0.3; ///< Failed share that is bad, unless the others fail as much.
-    double slowFactor = 3; ///< How many times slower than the others is bad.
+    double slowFactor = 3; ///< How many times slower than the others is bad, over many answers.
+    double scarceAnswers = 2; ///< Raises slowFactor by this over the number of answers, when they are few.
     std::chrono::microseconds slowMargin { 20'000 }; ///< And by how much at least.
     std::uint32_t badTicksToSuspect = 2;
     std::uint32_t goodTicksToClear = 20; ///< Longer than badTicksToSuspect, against flapping.
--- a/packages/decisions/src/membership.cpp
+++ b/packages/decisions/src/membership.cpp
@@ -41,8 +41,7 @@
 
 } // namespace
 
-membership::membership(
-    member_record self, membership_policy policy, random_hook random, change_hook changed)
+membership::membership(member_record self, membership_policy policy, random_hook random, change_hook changed)
     : m_self(std::move(self))
     , m_policy(policy)
     , m_random(std::move(random))
@@ -51,8 +50,7 @@
     spread(m_self.life.node);
 }
 
-gossip_message membership::makeMessage(
-    gossip_kind kind, std::uint64_t sequence, const log_cursors& cursors)
+gossip_message membership::makeMessage(gossip_kind kind, std::uint64_t sequence, const log_cursors& cursors)
 {
     gossip_message message;
     message.kind = kind;
@@ -118,8 +116,7 @@
     }
     auto sequence = ++m_sequence;
     m_probes.push_back({ *target, sequence, now, false });
-    out.push_back(
-        { m_others.at(*target).endpoint, makeMessage(gossip_kind::probe, sequence, cursors) });
+    out.push_back({ m_others.at(*target).endpoint, makeMessage(gossip_kind::probe, sequence, cursors) });
     if (sequence % healInterval == 0)
         probeDeadMember(out, cursors);
 }
@@ -160,8 +157,7 @@
     return std::nullopt;
 }
 
-void membership::checkProbes(
-    std::vector<outgoing_gossip>& out, const log_cursors& cursors, instant now)
+void membership::checkProbes(std::vector<outgoing_gossip>& out, const log_cursors& cursors, instant now)
 {
     for (auto& probe : m_probes) {
         if (!probe.indirectSent && now - probe.sentAt >= m_policy.probeTimeout) {
@@ -175,8 +171,8 @@
         suspectMember(probe.target, now);
         return true;
     });
-    std::erase_if(m_relayed,
-        [&](const auto& entry) { return now - entry.second.sentAt > m_policy.probeInterval; });
+    std::erase_if(
+        m_relayed, [&](const auto& entry) { return now - entry.second.sentAt > m_policy.probeInterval; });
 }
 
 void membership::sendIndirect(
@@ -214,8 +210,7 @@
 {
     std::vector<member_record> dead;
     for (const auto& [node, record] : m_others) {
-        if (record.status == member_status::suspect
-            && now - m_statusSince[node] >= m_policy.suspicionTimeout)
+        if (record.status == member_status::suspect && now - m_statusSince[node] >= m_policy.suspicionTimeout)
             dead.push_back(record);
     }
     for (auto& record : dead) {
@@ -241,8 +236,8 @@
     merge(message.news, now);
     switch (message.kind) {
     case gossip_kind::probe:
-        out.push_back({ message.fromEndpoint,
-            makeMessage(gossip_kind::acknowledgement, message.sequence, cursors) });
+        out.push_back(
+            { message.fromEndpoint, makeMessage(gossip_kind::acknowledgement, message.sequence, cursors) });
         break;
     case gossip_kind::acknowledgement:
         acknowledge(message, out, cursors);
@@ -250,8 +245,7 @@
     case gossip_kind::probeRequest: {
         auto sequence = ++m_sequence;
         m_relayed[sequence] = { message.fromEndpoint, message.sequence, now };
-        out.push_back(
-            { message.targetEndpoint, makeMessage(gossip_kind::probe, sequence, cursors) });
+        out.push_back({ message.targetEndpoint, makeMessage(gossip_kind::probe, sequence, cursors) });
         break;
     }
     case gossip_kind::report:
@@ -279,8 +273,7 @@
         m_relayed.erase(relayed);
         return;
     }
-    std::erase_if(
-        m_probes, [&](const pending_probe& probe) { return probe.sequence == message.sequence; });
+    std::erase_if(m_probes, [&](const pending_probe& probe) { return probe.sequence == message.sequence; });
 }
 
 void membership::merge(const std::vector<member_record>& records, instant now)
@@ -349,8 +342,9 @@
 
 std::size_t membership::liveCount() const
 {
-    return 1 + static_cast<std::size_t>(std::count_if(
-               m_others.begin(), m_others.end(), [](const auto& entry) { return isPresent(entry.second.status); }));
+    return 1
+        + static_cast<std::size_t>(std::count_if(m_others.begin(), m_others.end(),
+            [](const auto& entry) { return isPresent(entry.second.status); }));
 }
 
 } // namespace pomelohub
--- a/packages/decisions/src/membership.h
+++ b/packages/decisions/src/membership.h
@@ -127,8 +127,9 @@
     /** Live members with this node. */
     std::size_t liveCount() const;
 
-    /** When the probe that \p answer answers was sent, or nothing when it answers none of this node's. What the
-     * answer says was true then or later; a datagram alone may have waited for any time. Ask before receive(). */
+    /** When the probe that \p answer answers was sent, or nothing when it answers none of this node's. What
+     * the answer says was true then or later; a datagram alone may have waited for any time. Ask before
+     * receive(). */
     std::optional<instant> probedAt(const gossip_message& answer) const;
 
 private:
@@ -155,15 +156,15 @@
     void spread(const node_id& node);
     std::size_t spreadLimit() const;
     void checkProbes(std::vector<outgoing_gossip>& out, const log_cursors& cursors, instant now);
-    void sendIndirect(std::vector<outgoing_gossip>& out, const pending_probe& probe,
-        const log_cursors& cursors);
+    void sendIndirect(
+        std::vector<outgoing_gossip>& out, const pending_probe& probe, const log_cursors& cursors);
     void startProbe(std::vector<outgoing_gossip>& out, const log_cursors& cursors, instant now);
     void probeDeadMember(std::vector<outgoing_gossip>& out, const log_cursors& cursors);
     void suspectMember(const node_id& node, instant now);
     void expireSuspects(instant now);
     std::optional<node_id> nextTarget();
-    void acknowledge(const gossip_message& message, std::vector<outgoing_gossip>& out,
-        const log_cursors& cursors);
+    void acknowledge(
+        const gossip_message& message, std::vector<outgoing_gossip>& out, const log_cursors& cursors);
 
     member_record m_self;
     membership_policy m_policy;
--- a/packages/decisions/src/rcu_cell.h
+++ b/packages/decisions/src/rcu_cell.h
@@ -13,8 +13,7 @@
 namespace pomelohub {
 
 /** Base of values that are shared between threads by intrusive counts. */
-template <typename Derived>
-using counted = boost::intrusive_ref_counter<Derived, boost::thread_safe_counter>;
+template <typename Derived> using counted = boost::intrusive_ref_counter<Derived, boost::thread_safe_counter>;
 
 template <typename T> using handle = boost::intrusive_ptr<T>;
 
--- a/packages/decisions/src/token_leases.cpp
+++ b/packages/decisions/src/token_leases.cpp
@@ -148,8 +148,7 @@
     return available;
 }
 
-std::optional<rate_request> refillRequest(
-    organisation_leases& leases, const node_life& self, instant now)
+std::optional<rate_request> refillRequest(organisation_leases& leases, const node_life& self, instant now)
 {
     auto available = availableTokens(leases, now);
     auto demand = std::max({ 1U, leases.spentInWindow.load(), leases.spentBefore.load() });
@@ -167,8 +166,7 @@
     return std::nullopt;
 }
 
-void takeGrant(
-    organisation_leases& leases, std::uint32_t part, const rate_grant& grant, instant asked)
+void takeGrant(organisation_leases& leases, std::uint32_t part, const rate_grant& grant, instant asked)
 {
     leases.grants[part] = grant.id;
     leases.parts[part].replace(grant.tokens, asked + grant.lifetime);
--- a/packages/messages/src/configuration_codec.cpp
+++ b/packages/messages/src/configuration_codec.cpp
@@ -125,9 +125,9 @@
         {
             auto routes = json::array();
             for (const auto& each : content.routes)
-                routes.push_back({ { "id", each.id }, { "method", each.method },
-                    { "path_prefix", each.pathPrefix }, { "idempotent", each.idempotent },
-                    { "open", each.open } });
+                routes.push_back(
+                    { { "id", each.id }, { "method", each.method }, { "path_prefix", each.pathPrefix },
+                        { "idempotent", each.idempotent }, { "open", each.open } });
             return { { "name", content.id.text() }, { "hosts", content.hosts }, { "routes", routes } };
         }
         json operator()(const data_centre& content) const
--- a/packages/messages/src/log_client.cpp
+++ b/packages/messages/src/log_client.cpp
@@ -67,8 +67,7 @@
     {
         auto client = makeClient(address, timeout + request.wait);
         auto answer = client.Get(pathOf(request.stream) + "?from=" + std::to_string(request.from)
-            + "&limit=" + std::to_string(request.limit)
-            + "&wait_ms=" + std::to_string(request.wait.count()));
+            + "&limit=" + std::to_string(request.limit) + "&wait_ms=" + std::to_string(request.wait.count()));
         if (!answer)
             return failedCall(answer.error());
         if (answer->status != 200)
--- a/packages/messages/src/node_messages.cpp
+++ b/packages/messages/src/node_messages.cpp
@@ -23,7 +23,8 @@
     }
 
     /** Runs \p read over the decoded bytes; any mismatch of type or length gives nothing. */
-    template <typename F> auto unpack(std::string_view bytes, F&& read) -> std::optional<decltype(read(json()))>
+    template <typename F>
+    auto unpack(std::string_view bytes, F&& read) -> std::optional<decltype(read(json()))>
     {
         try {
             return read(json::from_msgpack(bytes.begin(), bytes.end()));
@@ -151,9 +152,9 @@
 
 std::string encode(const gossip_message& message)
 {
-    return pack(json::array({ message.kind, message.sequence, toArray(message.from), message.fromEndpoint,
-        message.target.text(), message.targetEndpoint, toArray(message.cursors),
-        message.viewDigest, toArray(message.news) }));
+    return pack(json::array(
+        { message.kind, message.sequence, toArray(message.from), message.fromEndpoint, message.target.text(),
+            message.targetEndpoint, toArray(message.cursors), message.viewDigest, toArray(message.news) }));
 }
 
 std::optional<gossip_message> decodeGossip(std::string_view bytes)
@@ -201,8 +202,7 @@
 
 std::string encode(const ejection_request& request)
 {
-    return pack(
-        json::array({ request.service.text(), request.witness.text(), toArray(request.suspects) }));
+    return pack(json::array({ request.service.text(), request.witness.text(), toArray(request.suspects) }));
 }
 
 std::optional<ejection_request> decodeEjectionRequest(std::string_view bytes)
@@ -221,8 +221,7 @@
 std::optional<ejection_permit> decodeEjectionPermit(std::string_view bytes)
 {
     return unpack(bytes, [](const json& value) {
-        return ejection_permit { readBackendIds(value.at(0)),
-            milliseconds(value.at(1).get<std::int64_t>()) };
+        return ejection_permit { readBackendIds(value.at(0)), milliseconds(value.at(1).get<std::int64_t>()) };
     });
 }
 
--- a/packages/messages/src/peer_client.cpp
+++ b/packages/messages/src/peer_client.cpp
@@ -81,8 +81,8 @@
     return port ? std::optional(std::pair(text.substr(0, colon), *port)) : std::nullopt;
 }
 
-peer_client::peer_client(asio::io_context& io, const rcu_cell<tls_contexts>& contexts, session_limits limits,
-    clock_hook clock)
+peer_client::peer_client(
+    asio::io_context& io, const rcu_cell<tls_contexts>& contexts, session_limits limits, clock_hook clock)
     : m_io(io)
     , m_contexts(contexts)
     , m_limits(limits)
@@ -93,8 +93,7 @@
 
 void peer_client::send(const peer_address& peer, const handle<exchange>& asked)
 {
-    asio::post(
-        m_strand, [self = handle<peer_client>(this), peer, asked] { self->sendNow(peer, asked); });
+    asio::post(m_strand, [self = handle<peer_client>(this), peer, asked] { self->sendNow(peer, asked); });
 }
 
 void peer_client::sendNow(const peer_address& peer, const handle<exchange>& asked)
@@ -147,8 +146,7 @@
         session->submit(asked);
 }
 
-void peer_client::failed(
-    const peer_address& peer, const handle<connection>& made, const std::string& why)
+void peer_client::failed(const peer_address& peer, const handle<connection>& made, const std::string& why)
 {
     auto found = m_connections.find(peer.endpoint);
     if (found != m_connections.end() && found->second == made)
--- a/packages/messages/src/peer_listener.cpp
+++ b/packages/messages/src/peer_listener.cpp
@@ -39,8 +39,8 @@
 
 } // namespace
 
-peer_listener::peer_listener(asio::io_context& io, const rcu_cell<tls_contexts>& contexts,
-    session_limits limits, clock_hook clock)
+peer_listener::peer_listener(
+    asio::io_context& io, const rcu_cell<tls_contexts>& contexts, session_limits limits, clock_hook clock)
     : m_io(io)
     , m_contexts(contexts)
     , m_limits(limits)
--- a/packages/messages/src/peer_session.cpp
+++ b/packages/messages/src/peer_session.cpp
@@ -46,7 +46,8 @@
     auto reason = refusalReasonFromText(headerValue(headers, reasonHeader).value_or(""));
     if (!outcome || !reason)
         return std::nullopt;
-    auto retryAfter = parseNumber<std::int64_t>(headerValue(headers, retryAfterHeader).value_or("0")).value_or(0);
+    auto retryAfter
+        = parseNumber<std::int64_t>(headerValue(headers, retryAfterHeader).value_or("0")).value_or(0);
     return verdict { *outcome, *reason, headerValue(headers, detailHeader).value_or(""),
         std::chrono::milliseconds(retryAfter) };
 }
@@ -144,8 +145,7 @@
     headers.emplace_back(std::string(timeLeftHeader), std::to_string(left.count()));
     nghttp2_data_provider body { { 0 }, onReadBody };
     auto fields = toFields(headers);
-    auto streamId
-        = nghttp2_submit_request(m_session, nullptr, fields.data(), fields.size(), &body, nullptr);
+    auto streamId = nghttp2_submit_request(m_session, nullptr, fields.data(), fields.size(), &body, nullptr);
     if (streamId < 0) {
         asked->refuse({ execution::notRun, refusal_reason::pathFailed, nghttp2_strerror(streamId), {} });
         return;
@@ -295,7 +295,8 @@
         return;
     }
     response_head head;
-    head.status = static_cast<int>(parseNumber<std::int64_t>(headerValue(stream->head, ":status").value_or("")).value_or(0));
+    head.status = static_cast<int>(
+        parseNumber<std::int64_t>(headerValue(stream->head, ":status").value_or("")).value_or(0));
     std::erase_if(stream->head, [](const header_field& field) { return field.first.starts_with(':'); });
     head.headers = std::move(stream->head);
     stream->carried->respond(std::move(head));
@@ -350,8 +351,7 @@
     return static_cast<ssize_t>(part.bytes);
 }
 
-int peer_session::onStreamClosed(
-    nghttp2_session*, std::int32_t streamId, std::uint32_t errorCode, void* self)
+int peer_session::onStreamClosed(nghttp2_session*, std::int32_t streamId, std::uint32_t errorCode, void* self)
 {
     sessionOf(self).streamClosed(streamId, errorCode);
     return 0;
--- a/packages/messages/src/peer_session.h
+++ b/packages/messages/src/peer_session.h
@@ -49,7 +49,8 @@
     peer_session(const peer_session&) = delete;
     peer_session& operator=(const peer_session&) = delete;
 
-    /** Starts reading and writing. \param closed is called once, on the strand, when the session has ended. */
+    /** Starts reading and writing. \param closed is called once, on the strand, when the session has ended.
+     */
     void start(incoming_hook incoming, std::function<void()> closed);
 
     /** Sends \p asked to the peer. Precondition: the role is client. */
@@ -80,8 +81,7 @@
     static int onFrameSending(nghttp2_session*, const nghttp2_frame* frame, void* self);
     static int onData(nghttp2_session*, std::uint8_t, std::int32_t streamId, const std::uint8_t* data,
         std::size_t length, void* self);
-    static int onStreamClosed(
-        nghttp2_session*, std::int32_t streamId, std::uint32_t errorCode, void* self);
+    static int onStreamClosed(nghttp2_session*, std::int32_t streamId, std::uint32_t errorCode, void* self);
     static ssize_t onReadBody(nghttp2_session*, std::int32_t streamId, std::uint8_t* buffer,
         std::size_t length, std::uint32_t* flags, nghttp2_data_source* source, void* self);
 
--- a/packages/messages/src/sealed_datagram.cpp
+++ b/packages/messages/src/sealed_datagram.cpp
@@ -37,8 +37,8 @@
         int length = 0;
         bool isOpen
             = EVP_DecryptInit_ex(context.get(), EVP_aes_256_gcm(), nullptr, key.data(), bytesOf(sealed)) == 1
-            && EVP_DecryptUpdate(context.get(), bytesOf(plain), &length, bytesOf(cipherText),
-                   static_cast<int>(cipherBytes))
+            && EVP_DecryptUpdate(
+                   context.get(), bytesOf(plain), &length, bytesOf(cipherText), static_cast<int>(cipherBytes))
                 == 1
             && EVP_CIPHER_CTX_ctrl(context.get(), EVP_CTRL_GCM_SET_TAG, tagBytes, tag.data()) == 1
             && EVP_DecryptFinal_ex(context.get(), bytesOf(plain) + length, &length) == 1;
@@ -65,8 +65,7 @@
                context.get(), out + nonceBytes, &length, bytesOf(plain), static_cast<int>(plain.size()))
             == 1
         && EVP_EncryptFinal_ex(context.get(), out + nonceBytes + length, &length) == 1
-        && EVP_CIPHER_CTX_ctrl(
-               context.get(), EVP_CTRL_GCM_GET_TAG, tagBytes, out + nonceBytes + plain.size())
+        && EVP_CIPHER_CTX_ctrl(context.get(), EVP_CTRL_GCM_GET_TAG, tagBytes, out + nonceBytes + plain.size())
             == 1;
     if (!isSealed)
         throw std::runtime_error("the cipher library failed to seal a datagram");
--- a/packages/messages/src/slot_codec.cpp
+++ b/packages/messages/src/slot_codec.cpp
@@ -10,8 +10,8 @@
 {
     const auto& slots = record.slots;
     json value { { "change", changeTexts.at(static_cast<std::size_t>(slots.change)) },
-        { "node", slots.by.node.text() }, { "life", slots.by.life }, { "data_centre", record.dataCentre.text() },
-        { "endpoint", record.endpoint } };
+        { "node", slots.by.node.text() }, { "life", slots.by.life },
+        { "data_centre", record.dataCentre.text() }, { "endpoint", record.endpoint } };
     auto pairs = json::array();
     for (std::size_t i = 0; i < slots.slots.size(); ++i)
         pairs.push_back({ slots.slots[i], slots.terms[i] });
--- a/packages/node/src/action_authority.cpp
+++ b/packages/node/src/action_authority.cpp
@@ -113,8 +113,8 @@
     }
 };
 
-action_authority::action_authority(handle<control_plane> control, handle<fleet_forwarder> forwarder,
-    clock_hook clock, decision_hook decided)
+action_authority::action_authority(
+    handle<control_plane> control, handle<fleet_forwarder> forwarder, clock_hook clock, decision_hook decided)
     : m_control(std::move(control))
     , m_forwarder(std::move(forwarder))
     , m_clock(std::move(clock))
@@ -124,8 +124,8 @@
 
 void action_authority::note(const exchange& asked, std::string outcome, std::string reason) const
 {
-    m_decided({ m_clock().wall, valueOf(asked, requestIdHeader), "action", std::move(outcome),
-        std::move(reason) });
+    m_decided(
+        { m_clock().wall, valueOf(asked, requestIdHeader), "action", std::move(outcome), std::move(reason) });
 }
 
 void action_authority::submit(const handle<exchange>& asked)
@@ -134,10 +134,9 @@
     auto request = digestOf(*asked);
     m_control->withState([self = handle<action_authority>(this), asked, key, request](
                              control_state& state, const present& now) {
-        state.beginAction(key, request, now,
-            [self, asked, key](result<ledger_decision> decision) {
-                self->decided(asked, key, std::move(decision));
-            });
+        state.beginAction(key, request, now, [self, asked, key](result<ledger_decision> decision) {
+            self->decided(asked, key, std::move(decision));
+        });
     });
 }
 
--- a/packages/node/src/admin_listener.cpp
+++ b/packages/node/src/admin_listener.cpp
@@ -105,8 +105,7 @@
                     { "node", entry.node.text() }, { "data_centre", entry.dataCentre.text() },
                     { "condition", toText(entry.condition) }, { "slots", entry.slots },
                     { "weight", entry.stats->weight.load() }, { "ejected", entry.stats->ejected.load() },
-                    { "answers", entry.stats->answers.load() },
-                    { "failures", entry.stats->failures.load() },
+                    { "answers", entry.stats->answers.load() }, { "failures", entry.stats->failures.load() },
                     { "in_flight", entry.stats->inFlight.load() } });
         }
         return backends;
@@ -201,15 +200,13 @@
 
 void admin_listener::giveStatus(httplib::Response& response)
 {
-    give(response, fromState([](control_state& state, const present& now) {
-        return describeState(state, now);
-    }));
+    give(response,
+        fromState([](control_state& state, const present& now) { return describeState(state, now); }));
 }
 
 void admin_listener::giveBackends(httplib::Response& response)
 {
-    give(response,
-        fromState([](control_state& state, const present&) { return describeBackends(state); }));
+    give(response, fromState([](control_state& state, const present&) { return describeBackends(state); }));
 }
 
 void admin_listener::giveResources(const httplib::Request& request, httplib::Response& response)
@@ -218,13 +215,13 @@
     if (!kind)
         return reject(response, 404, "no such kind of resource");
     auto name = request.matches[2].str();
-    auto inForce
-        = fromState([](control_state& state, const present&) { return state.inForceOffset(); });
+    auto inForce = fromState([](control_state& state, const present&) { return state.inForceOffset(); });
     const auto& table = m_parts.control->state().table();
     if (!name.empty()) {
         auto stored = table.find({ *kind, name.substr(1) });
         if (!stored)
-            return give(response, { { "kind", toText(*kind) }, { "name", name.substr(1) }, { "version", 0 } }, 404);
+            return give(
+                response, { { "kind", toText(*kind) }, { "name", name.substr(1) }, { "version", 0 } }, 404);
         return give(response, toJson(*stored, inForce), stored->content ? 200 : 404);
     }
     auto found = json::array();
@@ -243,8 +240,7 @@
         auto seen = m_parts.control->changes().value();
         auto known = fromState([&](control_state& state, const present&) {
             auto outcome = state.outcomeAt(offset);
-            return json { { "offset", offset },
-                { "outcome", outcome ? json(toText(*outcome)) : json() },
+            return json { { "offset", offset }, { "outcome", outcome ? json(toText(*outcome)) : json() },
                 { "applied", state.nextOffset(log_stream::configuration) > offset },
                 { "in_force", state.inForceOffset() > offset } };
         });
@@ -262,8 +258,7 @@
     auto deadline = m_parts.clock().monotonic + waitOf(request);
     for (;;) {
         auto seen = m_parts.control->changes().value();
-        auto inForce
-            = fromState([](control_state& state, const present&) { return state.inForceOffset(); });
+        auto inForce = fromState([](control_state& state, const present&) { return state.inForceOffset(); });
         if (inForce > *after || !m_parts.control->changes().waitBeyond(seen, deadline))
             return give(response, { { "in_force_offset", inForce } });
     }
--- a/packages/node/src/backend_call.cpp
+++ b/packages/node/src/backend_call.cpp
@@ -59,8 +59,8 @@
         bool takeHead(const httplib::Response& response)
         {
             m_servedIn = m_clock().monotonic - m_startedAt;
-            m_isShed = response.status == 503
-                && response.get_header_value(std::string(shedHeader)) == shedValue;
+            m_isShed
+                = response.status == 503 && response.get_header_value(std::string(shedHeader)) == shedValue;
             m_failed = response.status >= 500;
             if (m_isShed)
                 return true;
@@ -99,8 +99,8 @@
     private:
         void addDeadline(httplib::Request& request)
         {
-            auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-                m_carried->deadline() - m_startedAt);
+            auto left
+                = std::chrono::duration_cast<std::chrono::milliseconds>(m_carried->deadline() - m_startedAt);
             request.headers.emplace("x-timeout-ms", std::to_string(std::max<std::int64_t>(1, left.count())));
         }
 
@@ -111,20 +111,21 @@
                 request.content_length_ = std::strtoull(length->c_str(), nullptr, 10);
                 if (request.content_length_ == 0)
                     return;
-                request.content_provider_ = [this](std::size_t offset, std::size_t,
-                                                httplib::DataSink& sink) { return giveBody(offset, sink); };
+                request.content_provider_ = [this](std::size_t offset, std::size_t, httplib::DataSink& sink) {
+                    return giveBody(offset, sink);
+                };
             } else if (headerValue(headers, std::string(internalPrefix) + "body") == "chunked") {
                 request.is_chunked_content_provider_ = true;
-                request.content_provider_ = [this](std::size_t offset, std::size_t,
-                                                httplib::DataSink& sink) { return giveBody(offset, sink); };
+                request.content_provider_ = [this](std::size_t offset, std::size_t, httplib::DataSink& sink) {
+                    return giveBody(offset, sink);
+                };
             }
         }
 
         bool giveBody(std::size_t, httplib::DataSink& sink)
         {
             std::array<char, bodyChunk> buffer;
-            auto part
-                = m_carried->requestBody().read(buffer.data(), buffer.size(), m_carried->deadline());
+            auto part = m_carried->requestBody().read(buffer.data(), buffer.size(), m_carried->deadline());
             if (part.state == pipe_state::failed || part.state == pipe_state::timedOut)
                 return false;
             if (part.state == pipe_state::ended) {
--- a/packages/node/src/backend_call.h
+++ b/packages/node/src/backend_call.h
@@ -28,8 +28,8 @@
     bool wasSent = false; ///< At least one byte may have reached the backend server.
 };
 
-/** Carries \p carried through \p connection and settles it. Blocks until its end. Thread safety: one call at a
- * time per connection. */
+/** Carries \p carried through \p connection and settles it. Blocks until its end. Thread safety: one call at
+ * a time per connection. */
 call_end runBackendCall(const handle<backend_connection>& connection, const handle<exchange>& carried,
     const host_report& report, const clock_hook& clock);
 
--- a/packages/node/src/backend_host.cpp
+++ b/packages/node/src/backend_host.cpp
@@ -26,9 +26,8 @@
 
 void backend_host::announce(const backend_announcement& announcement)
 {
-    asio::post(m_strand, [self = handle<backend_host>(this), announcement] {
-        self->announceNow(announcement);
-    });
+    asio::post(
+        m_strand, [self = handle<backend_host>(this), announcement] { self->announceNow(announcement); });
 }
 
 void backend_host::announceNow(const backend_announcement& announcement)
@@ -59,7 +58,8 @@
         auto carried = static_cast<waiting_exchange&>(*item).carried;
         carried->setCancelHook(nullptr);
         refuse(carried,
-            { execution::notRun, refusal_reason::backendServerDraining, "the backend server is draining", {} });
+            { execution::notRun, refusal_reason::backendServerDraining, "the backend server is draining",
+                {} });
     };
     // No deadline lies after the end of time, so every request counts as expired.
     backend.queue.pop(instant::max(), refuseOne);
@@ -96,8 +96,7 @@
 
 void backend_host::submit(const handle<exchange>& carried, const backend_server_id& id)
 {
-    asio::post(
-        m_strand, [self = handle<backend_host>(this), carried, id] { self->admit(carried, id); });
+    asio::post(m_strand, [self = handle<backend_host>(this), carried, id] { self->admit(carried, id); });
 }
 
 void backend_host::refuse(const handle<exchange>& carried, verdict why)
@@ -112,7 +111,8 @@
     auto found = m_backends.find(id);
     if (found == m_backends.end())
         return refuse(carried,
-            { execution::notRun, refusal_reason::noBackendServer, id.text() + " is not beside this node", {} });
+            { execution::notRun, refusal_reason::noBackendServer, id.text() + " is not beside this node",
+                {} });
     auto backend = found->second;
     admission_context context { request_id(subjectOf(*carried)),
         organisation_id(headerValue(carried->request().headers, organisationHeader).value_or("")),
@@ -125,8 +125,8 @@
     pump(backend);
 }
 
-void backend_host::enqueue(const handle<hosted_backend>& backend, const handle<exchange>& carried,
-    const admission_context& context)
+void backend_host::enqueue(
+    const handle<hosted_backend>& backend, const handle<exchange>& carried, const admission_context& context)
 {
     handle<waiting_exchange> item(new waiting_exchange);
     item->organisation = context.organisation;
@@ -139,8 +139,7 @@
             if (!item->backend->queue.remove(*item))
                 return;
             --self->m_busy;
-            item->carried->refuse(
-                { execution::notRun, refusal_reason::cancelled, "the caller gave up", {} });
+            item->carried->refuse({ execution::notRun, refusal_reason::cancelled, "the caller gave up", {} });
         });
     });
     auto crowdedOut = backend->queue.push(item);
@@ -195,13 +194,13 @@
     asio::post(m_workers, [self = handle<backend_host>(this), backend, carried, connection] {
         host_report report { [backend] { return backend->load.load(); } };
         auto end = runBackendCall(connection, carried, report, self->m_hooks.clock);
-        asio::post(self->m_strand,
-            [self, backend, connection, end] { self->ended(backend, connection, end); });
+        asio::post(
+            self->m_strand, [self, backend, connection, end] { self->ended(backend, connection, end); });
     });
 }
 
-void backend_host::ended(const handle<hosted_backend>& backend,
-    const handle<backend_connection>& connection, const call_end& end)
+void backend_host::ended(
+    const handle<hosted_backend>& backend, const handle<backend_connection>& connection, const call_end& end)
 {
     --m_busy;
     auto limitBefore = backend->gate.limit();
--- a/packages/node/src/backend_host.h
+++ b/packages/node/src/backend_host.h
@@ -41,8 +41,7 @@
 /** Thread safety: any thread. */
 class backend_host : public counted<backend_host> {
 public:
-    backend_host(
-        asio::io_context& io, std::size_t threads, host_settings settings, host_hooks hooks);
+    backend_host(asio::io_context& io, std::size_t threads, host_settings settings, host_hooks hooks);
 
     /** Takes in or renews a backend server. */
     void announce(const backend_announcement& announcement);
--- a/packages/node/src/backend_registry.cpp
+++ b/packages/node/src/backend_registry.cpp
@@ -72,8 +72,7 @@
     });
 }
 
-void backend_registry::forEachActive(
-    const std::function<void(const service_id&, const service_view&)>& use)
+void backend_registry::forEachActive(const std::function<void(const service_id&, const service_view&)>& use)
 {
     auto view = m_view.load();
     if (!view)
--- a/packages/node/src/backend_registry.h
+++ b/packages/node/src/backend_registry.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines backend_registry, which folds what members announce into the fleet_view that requests read. A change
- * of one member rebuilds the services of its backend servers only.
+ * Defines backend_registry, which folds what members announce into the fleet_view that requests read. A
+ * change of one member rebuilds the services of its backend servers only.
  */
 #pragma once
 
@@ -13,7 +13,8 @@
 /** Thread safety: one thread at a time; view() from any thread. */
 class backend_registry {
 public:
-    /** Takes in the backend servers that \p member announces now; those of one that is not live are left out. */
+    /** Takes in the backend servers that \p member announces now; those of one that is not live are left out.
+     */
     void update(const member_record& member);
 
     /** Publishes the services that changed since the last call. */
--- a/packages/node/src/caller_front.cpp
+++ b/packages/node/src/caller_front.cpp
@@ -44,8 +44,8 @@
         static constexpr std::array<std::string_view, 14> names { "authorization", "connection", "expect",
             "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
             "idempotency-key", "x-request-id", "x-timeout-ms", "remote_addr", "remote_port" };
-        return std::find(names.begin(), names.end(), name) != names.end()
-            || name.starts_with(internalPrefix) || name == "local_addr" || name == "local_port";
+        return std::find(names.begin(), names.end(), name) != names.end() || name.starts_with(internalPrefix)
+            || name == "local_addr" || name == "local_port";
     }
 
     bool hasBody(const httplib::Request& request)
@@ -83,8 +83,8 @@
 void caller_front::note(
     const request_context& context, std::string stage, std::string outcome, std::string reason)
 {
-    m_parts.decided({ m_parts.clock().wall, context.id.text(), std::move(stage), std::move(outcome),
-        std::move(reason) });
+    m_parts.decided(
+        { m_parts.clock().wall, context.id.text(), std::move(stage), std::move(outcome), std::move(reason) });
 }
 
 void caller_front::readContext(const httplib::Request& request, request_context& context) const
@@ -104,8 +104,8 @@
     context.contentLength = parseNumber<std::uint64_t>(request.get_header_value("Content-Length"));
 }
 
-void caller_front::serve(const httplib::Request& request, httplib::Response& response,
-    const httplib::ContentReader* reader)
+void caller_front::serve(
+    const httplib::Request& request, httplib::Response& response, const httplib::ContentReader* reader)
 {
     auto now = m_parts.clock();
     handle<served_request> served(new served_request);
@@ -131,13 +131,12 @@
     }
     auto head = served->outer->awaitResponse();
     if (head)
-        return writeAnswer(served, std::move(*head), response);
+        return writeAnswer(served, *head, response);
     served->outer->cancel();
     writeRefusal(context, head.error(), response, now.monotonic);
 }
 
-request_head caller_front::makeHead(
-    const httplib::Request& request, const request_context& context) const
+request_head caller_front::makeHead(const httplib::Request& request, const request_context& context) const
 {
     request_head head { request.method, request.target, {} };
     for (const auto& [name, value] : request.headers) {
@@ -210,12 +209,12 @@
 }
 
 void caller_front::writeAnswer(
-    const handle<served_request>& served, response_head head, httplib::Response& response)
+    const handle<served_request>& served, const response_head& head, httplib::Response& response)
 {
     response.status = head.status;
     std::optional<std::size_t> length;
     std::string type;
-    for (auto& [name, value] : head.headers) {
+    for (const auto& [name, value] : head.headers) {
         if (name == "content-length")
             length = parseNumber<std::size_t>(value);
         else if (name == "content-type")
@@ -229,8 +228,8 @@
         // A withdrawn key ends streams that are under way too.
         if (!isKeyInForce(m_parts.state.table(), served->context))
             return false;
-        auto part = served->outer->responseBody().read(
-            buffer.data(), buffer.size(), served->outer->deadline());
+        auto part
+            = served->outer->responseBody().read(buffer.data(), buffer.size(), served->outer->deadline());
         if (part.state == pipe_state::failed || part.state == pipe_state::timedOut)
             return false;
         if (part.state == pipe_state::ended) {
--- a/packages/node/src/caller_front.h
+++ b/packages/node/src/caller_front.h
@@ -35,14 +35,15 @@
 private:
     struct served_request;
 
-    void serve(const httplib::Request& request, httplib::Response& response,
-        const httplib::ContentReader* reader);
+    void serve(
+        const httplib::Request& request, httplib::Response& response, const httplib::ContentReader* reader);
     void readContext(const httplib::Request& request, request_context& context) const;
     request_head makeHead(const httplib::Request& request, const request_context& context) const;
     void dispatch(const handle<exchange>& outer, const request_context& context);
     result<void> sendBody(const httplib::Request& request, const handle<exchange>& outer,
         const httplib::ContentReader* reader) const;
-    void writeAnswer(const handle<served_request>& served, response_head head, httplib::Response& response);
+    void writeAnswer(
+        const handle<served_request>& served, const response_head& head, httplib::Response& response);
     void writeRefusal(
         const request_context& context, const verdict& why, httplib::Response& response, instant started);
     void note(const request_context& context, std::string stage, std::string outcome, std::string reason);
--- a/packages/node/src/caller_stream.cpp
+++ b/packages/node/src/caller_stream.cpp
@@ -26,8 +26,7 @@
 
 bool caller_stream::waitFor(short events, duration timeout) const
 {
-    auto millis = std::max<std::int64_t>(
-        0, std::chrono::ceil<std::chrono::milliseconds>(timeout).count());
+    auto millis = std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(timeout).count());
     pollfd entry { m_socket, events, 0 };
     return ::poll(&entry, 1, static_cast<int>(millis)) > 0;
 }
--- a/packages/node/src/control_plane.cpp
+++ b/packages/node/src/control_plane.cpp
@@ -116,8 +116,7 @@
 
 bool control_plane::readOnce(log_stream stream)
 {
-    auto from
-        = fromState([&](control_state& state, const present&) { return state.nextOffset(stream); });
+    auto from = fromState([&](control_state& state, const present&) { return state.nextOffset(stream); });
     auto asked = m_parts.clock().monotonic;
     // The first read tells where the stream ends, so it must not wait for a record to come.
     auto wait = m_hasRead.at(static_cast<std::size_t>(stream)) ? pollWait : milliseconds(0);
@@ -173,11 +172,10 @@
     return true;
 }
 
-void control_plane::ask(const peer_address& peer, const std::string& path, std::string body,
+void control_plane::ask(const peer_address& peer, const std::string& path, const std::string& body,
     duration timeout, std::function<void(result<std::string>)> done)
 {
-    handle<exchange> asked(
-        new exchange({ "POST", path, {} }, m_parts.clock().monotonic + timeout));
+    handle<exchange> asked(new exchange({ "POST", path, {} }, m_parts.clock().monotonic + timeout));
     asked->requestBody().offer(body);
     asked->requestBody().finish();
     // A peer that answers nothing must not hold its asker longer than the timeout.
@@ -231,12 +229,11 @@
 {
     ++m_appendsUnderWay;
     asio::post(m_appender,
-        [self = handle<control_plane>(this), requests = std::move(requests), done = std::move(done)]() mutable {
-            self->runAppends(std::move(requests), std::move(done));
-        });
+        [self = handle<control_plane>(this), requests = std::move(requests),
+            done = std::move(done)]() mutable { self->runAppends(std::move(requests), std::move(done)); });
 }
 
-void control_plane::runAppends(std::vector<append_request> requests, std::function<void()> done)
+void control_plane::runAppends(const std::vector<append_request>& requests, const std::function<void()>& done)
 {
     for (const auto& request : requests) {
         auto offset = m_parts.log.append(toText(request.stream), request.data);
--- a/packages/node/src/control_plane.h
+++ b/packages/node/src/control_plane.h
@@ -48,7 +48,7 @@
     void stop();
 
     /** Asks \p peer over the streams between nodes. \param done is called on any thread. */
-    void ask(const peer_address& peer, const std::string& path, std::string body, duration timeout,
+    void ask(const peer_address& peer, const std::string& path, const std::string& body, duration timeout,
         std::function<void(result<std::string>)> done);
 
     /** Counts changes of what is applied or in force, for callers that wait for one. */
@@ -71,7 +71,7 @@
     void askForPermit(const ejection_request& request);
     void takeMembersFrom(const peer_address& peer);
     void catchUp(const peer_address& peer, log_stream stream);
-    void runAppends(std::vector<append_request> requests, std::function<void()> done);
+    void runAppends(const std::vector<append_request>& requests, const std::function<void()>& done);
 
     control_plane_parts m_parts;
     asio::steady_timer m_tickTimer;
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -77,8 +77,8 @@
 {
 }
 
-void control_state::decide(const present& now, std::string subject, std::string stage, std::string outcome,
-    std::string reason) const
+void control_state::decide(
+    const present& now, std::string subject, std::string stage, std::string outcome, std::string reason) const
 {
     m_hooks.decided(
         { now.wall, std::move(subject), std::move(stage), std::move(outcome), std::move(reason) });
@@ -169,8 +169,7 @@
         recent.pop_front();
 }
 
-void control_state::takePage(
-    log_stream stream, const log_page& page, instant asked, const present& now)
+void control_state::takePage(log_stream stream, const log_page& page, instant asked, const present& now)
 {
     m_lastLogContact = asked;
     takeRelayedPage(stream, page, now);
@@ -328,8 +327,7 @@
     return std::chrono::duration_cast<milliseconds>(now - m_slots.lastEvidence());
 }
 
-std::vector<outgoing_gossip> control_state::takeGossip(
-    const gossip_message& message, const present& now)
+std::vector<outgoing_gossip> control_state::takeGossip(const gossip_message& message, const present& now)
 {
     auto probedAt = m_members.probedAt(message);
     auto out = m_members.receive(message, cursors(now.monotonic), now.monotonic);
@@ -372,7 +370,8 @@
         return;
     // News that a node missed are not sent again, so it takes all records from one peer. The pause grows
     // with the fleet, which keeps the bytes a second the same.
-    m_nextMemberSync = now + std::max(shortestSyncPause, syncPauseForMember * static_cast<std::int64_t>(m_members.liveCount()));
+    m_nextMemberSync = now
+        + std::max(shortestSyncPause, syncPauseForMember * static_cast<std::int64_t>(m_members.liveCount()));
     if (m_differing)
         out.membersFrom = m_differing;
     else
--- a/packages/node/src/control_state.h
+++ b/packages/node/src/control_state.h
@@ -1,6 +1,7 @@
 /** \file
  * Defines control_state, the controllers of a node put together: configuration, membership, slots, rates,
- * actions, ejection. It knows no socket and no thread; the control plane feeds it and carries out what it asks.
+ * actions, ejection. It knows no socket and no thread; the control plane feeds it and carries out what it
+ * asks.
  */
 #pragma once
 
--- a/packages/node/src/fleet_forwarder.cpp
+++ b/packages/node/src/fleet_forwarder.cpp
@@ -32,8 +32,8 @@
 
 void fleet_forwarder::note(const attempt_state& state, std::string outcome, std::string reason) const
 {
-    m_parts.decided({ m_parts.clock().wall, state.request.requestId, "forward", std::move(outcome),
-        std::move(reason) });
+    m_parts.decided(
+        { m_parts.clock().wall, state.request.requestId, "forward", std::move(outcome), std::move(reason) });
 }
 
 void fleet_forwarder::forward(const handle<exchange>& outer, forward_request request)
@@ -121,8 +121,9 @@
     auto now = m_parts.clock().monotonic;
     if (isFailureOfBackend(why))
         state->stats->note(true, now - state->sentAt);
-    note(*state, "failed", state->backend + " " + std::string(toText(why.outcome)) + " "
-            + std::string(toText(why.reason)) + ": " + why.detail);
+    note(*state, "failed",
+        state->backend + " " + std::string(toText(why.outcome)) + " " + std::string(toText(why.reason)) + ": "
+            + why.detail);
     failed_attempt attempt { why, state->attempts, state->request.isIdempotent,
         state->outer->requestBody().rewind(), state->outer->deadline() };
     if (!state->outer->isCancelled() && mayRetry(attempt, m_policy, now) && m_budget.tryTake()) {
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -110,8 +110,8 @@
     auto life = static_cast<incarnation>(m_clock().wall.time_since_epoch().count());
     control_hooks hooks { randomBelow, [this](decision made) { decide(std::move(made)); },
         [&parts](const std::string& outcome) { parts.metrics.countRecord(outcome); } };
-    parts.state = std::make_unique<control_state>(
-        m_settings, node_life { m_settings.node, life }, std::move(hooks));
+    parts.state
+        = std::make_unique<control_state>(m_settings, node_life { m_settings.node, life }, std::move(hooks));
     parts.peers = new peer_client(parts.io, parts.contexts, session_limits {}, m_clock);
     parts.gossip = new gossip_socket(parts.strand, datagram_sealer(secrets), parts.metrics);
     parts.control = new control_plane({ parts.io, m_settings, *parts.state, parts.peers, parts.gossip,
@@ -130,16 +130,16 @@
     auto decided = [this](decision made) { decide(std::move(made)); };
     parts.host = new backend_host(parts.io, m_settings.backendThreads, settings,
         { facts, m_clock, decided, [&parts](const std::vector<announced_backend>& backends) {
-             parts.control->withState([backends](control_state& state, const present&) {
-                 state.setBackends(backends);
-             });
+             parts.control->withState(
+                 [backends](control_state& state, const present&) { state.setBackends(backends); });
          } });
     chooser_policy chooser { randomBelow,
         [&parts](const data_centre_id& dataCentre) { return parts.state->ramp().weightOf(dataCentre); },
         nullptr };
-    parts.forwarder = new fleet_forwarder({ *parts.state, parts.host, parts.peers, m_clock, decided, chooser,
-                                              m_settings.dataCentre, [&parts] { parts.metrics.countRetry(); } },
-        retry_policy {});
+    parts.forwarder
+        = new fleet_forwarder({ *parts.state, parts.host, parts.peers, m_clock, decided, chooser,
+                                  m_settings.dataCentre, [&parts] { parts.metrics.countRetry(); } },
+            retry_policy {});
     parts.authority = new action_authority(parts.control, parts.forwarder, m_clock, decided);
     parts.service = new peer_service(parts.host, parts.authority, parts.control, parts.metrics);
 }
@@ -155,14 +155,14 @@
             return parts.rates->refill(leases, wait);
         },
         m_clock, { m_settings.usualTimeout, m_settings.longestTimeout } });
-    parts.front = std::make_unique<caller_front>(caller_front_parts { parts.chain, *parts.state,
-        parts.forwarder, parts.authority, parts.peers, parts.metrics, m_clock, randomBelow, decided,
-        m_settings.maxBodyBytes });
+    parts.front = std::make_unique<caller_front>(
+        caller_front_parts { parts.chain, *parts.state, parts.forwarder, parts.authority, parts.peers,
+            parts.metrics, m_clock, randomBelow, decided, m_settings.maxBodyBytes });
     stream_limits limits;
     limits.maxHeadBytes = m_settings.maxHeaderBytes;
     parts.callers = std::make_unique<caller_listener>(parts.io,
-        caller_listener_settings { m_settings.callersEndpoint, m_settings.requestThreads,
-            m_settings.maxConnections, limits },
+        caller_listener_settings {
+            m_settings.callersEndpoint, m_settings.requestThreads, m_settings.maxConnections, limits },
         m_clock, [&parts](const std::string& listener) { parts.metrics.countBadInput(listener); });
     parts.front->attach(*parts.callers);
     parts.admin = std::make_unique<admin_listener>(
--- a/packages/node/src/node_settings.h
+++ b/packages/node/src/node_settings.h
@@ -37,7 +37,8 @@
     ejection_policy ejection;
 };
 
-/** Reads settings. Faults are in \p errors, all of them at once; the result holds only when there are none. */
+/** Reads settings. Faults are in \p errors, all of them at once; the result holds only when there are none.
+ */
 node_settings readNodeSettings(const std::string& text, std::vector<field_error>& errors);
 
 /** The lines of a secrets file. \return a text that says what is wrong. */
--- a/packages/node/src/peer_service.cpp
+++ b/packages/node/src/peer_service.cpp
@@ -8,7 +8,7 @@
 
     constexpr std::size_t maxQuestionBytes = 64 * 1024;
 
-    void answer(const handle<exchange>& incoming, std::string body)
+    void answer(const handle<exchange>& incoming, const std::string& body)
     {
         incoming->responseBody().offer(body);
         incoming->responseBody().finish();
@@ -81,8 +81,7 @@
     });
 }
 
-void peer_service::answerRate(
-    const handle<exchange>& incoming, const node_id& peer, const std::string& body)
+void peer_service::answerRate(const handle<exchange>& incoming, const node_id& peer, const std::string& body)
 {
     auto request = decodeRateRequest(body);
     // A node asks for itself only; its certificate says who it is.
--- a/packages/node/src/peer_service.h
+++ b/packages/node/src/peer_service.h
@@ -13,8 +13,8 @@
 /** Thread safety: any thread. Never blocks. */
 class peer_service : public counted<peer_service> {
 public:
-    peer_service(handle<backend_host> host, handle<action_authority> authority,
-        handle<control_plane> control, node_metrics& metrics);
+    peer_service(handle<backend_host> host, handle<action_authority> authority, handle<control_plane> control,
+        node_metrics& metrics);
 
     /** Settles \p incoming, which the node \p peer sent. */
     void submit(const handle<exchange>& incoming, const node_id& peer);
--- a/packages/node/src/pomelohubd.cpp
+++ b/packages/node/src/pomelohubd.cpp
@@ -75,8 +75,8 @@
     CLI::App app { "pomelohubd: the node of a pomelohub fleet, beside the backend servers of one instance" };
     std::string settingsPath;
     std::string checkPath;
-    auto* run_ = app.add_option("--settings", settingsPath, "Settings file (JSON with comments)");
-    app.add_option("--check-settings", checkPath, "Check a settings file and exit")->excludes(run_);
+    auto* runOption = app.add_option("--settings", settingsPath, "Settings file (JSON with comments)");
+    app.add_option("--check-settings", checkPath, "Check a settings file and exit")->excludes(runOption);
     CLI11_PARSE(app, argc, argv);
     if (settingsPath.empty() && checkPath.empty()) {
         std::cerr << app.help();
--- a/packages/operator/src/commands.cpp
+++ b/packages/operator/src/commands.cpp
@@ -35,7 +35,10 @@
         return text.str();
     }
 
-    std::string cell(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+    std::string cell(const json& value)
+    {
+        return value.is_string() ? value.get<std::string>() : value.dump();
+    }
 
     /** Prints \p rows with the named fields as columns, or as JSON. */
     void printRows(const common_options& common, const json& rows, const std::vector<std::string>& fields)
@@ -47,6 +50,7 @@
         table_printer table(fields);
         for (const auto& row : rows) {
             std::vector<std::string> cells;
+            cells.reserve(fields.size());
             for (const auto& field : fields)
                 cells.push_back(row.contains(field) ? cell(row[field]) : "");
             table.add(std::move(cells));
@@ -96,8 +100,8 @@
         if (!version)
             return tl::unexpected(version.error());
         if (expected && *expected != *version)
-            return tl::unexpected(command_error { exit_code::conflict,
-                record.target.name + " has version " + std::to_string(*version) });
+            return tl::unexpected(command_error {
+                exit_code::conflict, record.target.name + " has version " + std::to_string(*version) });
         record.replaces = *version;
         record.id = makeRecordId();
         return api.change(record, common.wait);
@@ -229,8 +233,9 @@
     if (!explained)
         return report(explained.error());
     if ((*explained)["decisions"].empty())
-        return report({ exit_code::refused, "node " + cell((*explained)["node"]) + " knows nothing of "
-                + subject + "; ask the node that the request entered by" });
+        return report({ exit_code::refused,
+            "node " + cell((*explained)["node"]) + " knows nothing of " + subject
+                + "; ask the node that the request entered by" });
     printRows(common, (*explained)["decisions"], { "at_ms", "stage", "outcome", "reason" });
     return exit_code::success;
 }
--- a/packages/operator/src/fleet_api.cpp
+++ b/packages/operator/src/fleet_api.cpp
@@ -80,14 +80,12 @@
             + "); the change may or may not take effect, ask with get");
 }
 
-command_result<change_result> fleet_api::change(
-    const configuration_record& record, milliseconds wait) const
+command_result<change_result> fleet_api::change(const configuration_record& record, milliseconds wait) const
 {
     auto offset = append(record);
     if (!offset)
         return tl::unexpected(offset.error());
-    auto path
-        = "/v1/records/" + std::to_string(*offset) + "?wait_ms=" + std::to_string(wait.count());
+    auto path = "/v1/records/" + std::to_string(*offset) + "?wait_ms=" + std::to_string(wait.count());
     auto known = get(path, wait);
     if (!known)
         return tl::unexpected(known.error());
--- a/packages/operator/src/pomelohub.cpp
+++ b/packages/operator/src/pomelohub.cpp
@@ -65,7 +65,8 @@
     auto* command = app.add_subcommand("delete", "Delete a resource");
     addCommon(*command, line);
     addChangeOptions(*command, line);
-    command->add_option("kind", line.kind, "organisation, service, data-centre or capacity-floor")->required();
+    command->add_option("kind", line.kind, "organisation, service, data-centre or capacity-floor")
+        ->required();
     command->add_option("name", line.name, "Name of the resource")->required();
     command->callback(
         [&line] { line.run = [&line] { return pomelohub::runDelete(line.common, line.kind, line.name); }; });
@@ -73,7 +74,8 @@
 
 void addGet(CLI::App& app, command_line& line)
 {
-    auto* command = app.add_subcommand("get", "Show resources with their versions and whether they are in force");
+    auto* command
+        = app.add_subcommand("get", "Show resources with their versions and whether they are in force");
     addCommon(*command, line);
     command->add_option("kind", line.kind, "Kind of resource; all kinds when left out");
     command->add_option("name", line.name, "Name of the resource");
@@ -87,8 +89,9 @@
     addCommon(*command, line);
     command->add_option("kind", line.kind, "Kind of resource; all kinds when left out");
     command->add_option("--changes", line.changes, "End after this many prints; 0 goes on");
-    command->callback(
-        [&line] { line.run = [&line] { return pomelohub::runWatch(line.common, line.kind, line.changes); }; });
+    command->callback([&line] {
+        line.run = [&line] { return pomelohub::runWatch(line.common, line.kind, line.changes); };
+    });
 }
 
 void addQueries(CLI::App& app, command_line& line)
--- a/test/correctness/backend_protection.cpp
+++ b/test/correctness/backend_protection.cpp
@@ -114,8 +114,8 @@
     context.condition = backend_condition::warm;
     CHECK(chain.run(context, { now, {} }, refusedBy).error().reason == refusal_reason::nodeLeaving);
     isInService = false;
-    CHECK(chain.run(context, { now, {} }, refusedBy).error().reason
-        == refusal_reason::dataCentreOutOfService);
+    CHECK(
+        chain.run(context, { now, {} }, refusedBy).error().reason == refusal_reason::dataCentreOutOfService);
     isInService = true;
     isLeaving = false;
     CHECK(chain.run(context, { now + milliseconds(1), {} }, refusedBy).error().outcome == execution::notRun);
--- a/test/correctness/bad_input.cpp
+++ b/test/correctness/bad_input.cpp
@@ -55,8 +55,9 @@
 TEST_CASE("corrupt log records are refused")
 {
     std::vector<field_error> errors;
-    for (const auto* text : { "", "{}", "[1]", "\xff\xfe", R"({"id":"a","kind":"service","name":"x","replaces":-1})",
-             R"({"id":"a","kind":"service","name":"x","replaces":0,"content":{"name":"y"}})" })
+    for (const auto* text :
+        { "", "{}", "[1]", "\xff\xfe", R"({"id":"a","kind":"service","name":"x","replaces":-1})",
+            R"({"id":"a","kind":"service","name":"x","replaces":0,"content":{"name":"y"}})" })
         CHECK_FALSE(decodeRecord(text, errors));
     for (const auto* text : { "", "{}", R"({"change":"claim","node":"a","life":1,"slots":[[999,1]]})" })
         CHECK_FALSE(decodeFleetRecord(text, errors));
@@ -68,8 +69,8 @@
     message.kind = gossip_kind::probeRequest;
     message.sequence = 7;
     message.from = { node_id("a"), 3 };
-    message.news.push_back({ { node_id("b"), 1 }, data_centre_id("dc"), "1.2.3.4:5", member_status::suspect, 2, 9,
-        { { backend_server_id("x"), service_id("s"), 5, backend_condition::warm } } });
+    message.news.push_back({ { node_id("b"), 1 }, data_centre_id("dc"), "1.2.3.4:5", member_status::suspect,
+        2, 9, { { backend_server_id("x"), service_id("s"), 5, backend_condition::warm } } });
     auto bytes = encode(message);
     auto decoded = decodeGossip(bytes);
     REQUIRE(decoded);
--- a/test/correctness/gray_failures.cpp
+++ b/test/correctness/gray_failures.cpp
@@ -30,7 +30,8 @@
     }
 }
 
-TEST_CASE("a backend server that is slow against its peers loses weight, and gets it back later than it lost it")
+TEST_CASE(
+    "a backend server that is slow against its peers loses weight, and gets it back later than it lost it")
 {
     gray_detector detector({});
     auto view = makeView(6);
--- a/test/correctness/late_news.cpp
+++ b/test/correctness/late_news.cpp
@@ -19,7 +19,8 @@
         settings.dataCentre = data_centre_id("dc");
         settings.peersEndpoint = "127.0.0.1:1";
         state = std::make_unique<control_state>(settings, node_life { settings.node, 1 },
-            control_hooks { [](std::uint64_t) { return 0; }, [](const decision&) {}, [](const std::string&) {} });
+            control_hooks {
+                [](std::uint64_t) { return 0; }, [](const decision&) {}, [](const std::string&) {} });
         state->takePage(log_stream::fleet, {}, now.monotonic, now);
     }
     void pass(duration time)
--- a/test/correctness/membership_news.cpp
+++ b/test/correctness/membership_news.cpp
@@ -22,8 +22,9 @@
             member_record self;
             self.life = { node_id("n" + std::to_string(i)), 1 };
             self.endpoint = "e" + std::to_string(i);
-            members.push_back(std::make_unique<membership>(self, membership_policy {},
-                [this](std::uint64_t bound) { return random() % bound; }, [](const member_record&) {}));
+            members.push_back(std::make_unique<membership>(
+                self, membership_policy {}, [this](std::uint64_t bound) { return random() % bound; },
+                [](const member_record&) {}));
             // Each knows the first one, as a seed.
             if (i > 0)
                 members.back()->merge({ members.front()->self() }, now);
--- a/test/correctness/request_filters.cpp
+++ b/test/correctness/request_filters.cpp
@@ -122,7 +122,8 @@
 
 TEST_CASE("a prefix matches whole segments, and the longest one wins")
 {
-    std::vector<route> routes { { "a", "*", "/bids", true, false }, { "b", "POST", "/bids/new", false, false } };
+    std::vector<route> routes { { "a", "*", "/bids", true, false },
+        { "b", "POST", "/bids/new", false, false } };
     CHECK(matchRoute(routes, "GET", "/bids/7")->id == "a");
     CHECK(matchRoute(routes, "POST", "/bids/new")->id == "b");
     CHECK(matchRoute(routes, "GET", "/bidsx") == nullptr);
--- a/test/performance/load.cpp
+++ b/test/performance/load.cpp
@@ -46,8 +46,9 @@
         headers.emplace("Authorization", "Bearer " + options.key);
     auto interval = std::chrono::duration<double>(options.connections / options.rate);
     auto offset = interval * number / options.connections;
-    auto measured = start + std::chrono::duration_cast<clock_type::duration>(
-                                std::chrono::duration<double>(options.warmUpSeconds));
+    auto measured = start
+        + std::chrono::duration_cast<clock_type::duration>(
+            std::chrono::duration<double>(options.warmUpSeconds));
     auto end = measured
         + std::chrono::duration_cast<clock_type::duration>(std::chrono::duration<double>(options.seconds));
     for (std::int64_t i = 0;; ++i) {
--- a/test/process/bad_input_is_survived.cpp
+++ b/test/process/bad_input_is_survived.cpp
@@ -73,7 +73,8 @@
     CHECK(fleet.waitUntilReady(2));
 }
 
-TEST_CASE("a node whose certificate is of another authority gets nothing; certificates are replaced while running")
+TEST_CASE(
+    "a node whose certificate is of another authority gets nothing; certificates are replaced while running")
 {
     process_fleet fleet({ .nodes = 2 });
     REQUIRE(fleet.waitUntilReady(2));
--- a/test/process/configuration_in_force.cpp
+++ b/test/process/configuration_in_force.cpp
@@ -61,8 +61,8 @@
 {
     process_fleet fleet({ .nodes = 2 });
     auto linkPort = freePort();
-    child_process link({ std::string(POMELOHUB_BINARIES) + "/standin_link", "--port", std::to_string(linkPort),
-                           "--target", std::to_string(fleet.logPort()) },
+    child_process link({ std::string(POMELOHUB_BINARIES) + "/standin_link", "--port",
+                           std::to_string(linkPort), "--target", std::to_string(fleet.logPort()) },
         "/dev/null", true);
     auto& cut = fleet.addNode(linkPort);
     fleet.startNode(cut);
@@ -89,7 +89,8 @@
     CHECK(rateAt(fleet, late) == 1000);
 }
 
-TEST_CASE("P5: a withdrawn key stops on a kept connection and in a stream under way; no backend server sees it")
+TEST_CASE(
+    "P5: a withdrawn key stops on a kept connection and in a stream under way; no backend server sees it")
 {
     process_fleet fleet({ .nodes = 2 });
     REQUIRE(fleet.waitUntilReady(2));
--- a/test/process/limits_hold.cpp
+++ b/test/process/limits_hold.cpp
@@ -83,7 +83,8 @@
     CHECK(served == 360);
     for (std::size_t i = 0; i < fleet.size(); ++i) {
         auto counts = fleet.counts(fleet.node(i));
-        // The stand-in turns warm after 30 answers; the gate's first step up comes after 4, its next after 12.
+        // The stand-in turns warm after 30 answers; the gate's first step up comes after 4, its next
+        // after 12.
         CHECK(counts["most_while_cold"].get<int>() <= 3);
         CHECK(counts["condition"] == "warm");
     }
--- a/test/property/authority_rights.cpp
+++ b/test/property/authority_rights.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Properties of the rights that authorities give, under random faults: rate and burst over all nodes together,
- * one authority a slot, and at most one run of a keyed action.
+ * Properties of the rights that authorities give, under random faults: rate and burst over all nodes
+ * together, one authority a slot, and at most one run of a keyed action.
  */
 #include "fake_fleet.h"
 
--- a/test/standins/backend_server.cpp
+++ b/test/standins/backend_server.cpp
@@ -44,19 +44,21 @@
     void attach(httplib::Server& server)
     {
         // Handlers with a reader go before those without, so this one has a reader too.
-        server.Put("/control", [this](const httplib::Request&, httplib::Response& response,
-                                   const httplib::ContentReader& reader) {
-            std::string body;
-            reader([&](const char* data, std::size_t size) {
-                body.append(data, size);
-                return true;
+        server.Put("/control",
+            [this](
+                const httplib::Request&, httplib::Response& response, const httplib::ContentReader& reader) {
+                std::string body;
+                reader([&](const char* data, std::size_t size) {
+                    body.append(data, size);
+                    return true;
+                });
+                control(json::parse(body), response);
             });
-            control(json::parse(body), response);
-        });
         server.Get("/counts", [this](const httplib::Request&, httplib::Response& response) {
             response.set_content(counts().dump(), "application/json");
         });
-        server.Get("/health", [](const httplib::Request&, httplib::Response& response) { response.status = 200; });
+        server.Get(
+            "/health", [](const httplib::Request&, httplib::Response& response) { response.status = 200; });
         auto plain = [this](const httplib::Request& request, httplib::Response& response) {
             serve(request, response, 0);
         };
@@ -208,7 +210,8 @@
     {
         std::size_t total = std::stoull(request.get_param_value("bytes"));
         std::size_t cut = request.has_param("cut") ? std::stoull(request.get_param_value("cut")) : total;
-        milliseconds pause(request.has_param("pause_ms") ? std::stoi(request.get_param_value("pause_ms")) : 0);
+        milliseconds pause(
+            request.has_param("pause_ms") ? std::stoi(request.get_param_value("pause_ms")) : 0);
         response.set_content_provider(total, "application/octet-stream",
             [=](std::size_t offset, std::size_t length, httplib::DataSink& sink) {
                 constexpr std::size_t chunk = 16 * 1024;
--- a/test/standins/log_service.cpp
+++ b/test/standins/log_service.cpp
@@ -1,6 +1,6 @@
 /** \file
- * Stand-in for the platform's append-only log, in memory, after docs/PLATFORM.md. Its faults can be set while it
- * runs: PUT /faults {"mode": "none" | "away" | "lose-answers", "delay_ms": 0}.
+ * Stand-in for the platform's append-only log, in memory, after docs/PLATFORM.md. Its faults can be set while
+ * it runs: PUT /faults {"mode": "none" | "away" | "lose-answers", "delay_ms": 0}.
  */
 #include "http_server_options.h"
 
@@ -41,11 +41,14 @@
     void attach(httplib::Server& server)
     {
         server.Post("/v1/streams/([a-z]+)/records",
-            [this](const httplib::Request& request, httplib::Response& response) { append(request, response); });
+            [this](
+                const httplib::Request& request, httplib::Response& response) { append(request, response); });
         server.Get("/v1/streams/([a-z]+)/records",
-            [this](const httplib::Request& request, httplib::Response& response) { read(request, response); });
-        server.Put("/faults",
-            [this](const httplib::Request& request, httplib::Response& response) { setFaults(request, response); });
+            [this](
+                const httplib::Request& request, httplib::Response& response) { read(request, response); });
+        server.Put("/faults", [this](const httplib::Request& request, httplib::Response& response) {
+            setFaults(request, response);
+        });
         server.Get("/counts", [this](const httplib::Request&, httplib::Response& response) {
             std::lock_guard lock(m_mutex);
             response.set_content(
@@ -59,7 +62,7 @@
         auto body = json::parse(request.body);
         std::lock_guard lock(m_mutex);
         auto mode = body.value("mode", "none");
-        m_mode = mode == "away" ? fault_mode::away
+        m_mode = mode == "away"      ? fault_mode::away
             : mode == "lose-answers" ? fault_mode::loseAnswers
                                      : fault_mode::none;
         m_delay = std::chrono::milliseconds(body.value("delay_ms", 0));
@@ -129,7 +132,8 @@
         auto& source = m_streams[name];
         auto records = json::array();
         auto limit = number(request, "limit");
-        for (auto offset = std::max(from, source.first); offset < source.next() && records.size() < limit; ++offset)
+        for (auto offset = std::max(from, source.first); offset < source.next() && records.size() < limit;
+             ++offset)
             records.push_back({ { "offset", offset }, { "data", source.records[offset - source.first] } });
         response.set_content(
             json { { "first", source.first }, { "next", source.next() }, { "records", records } }.dump(),
--- a/test/support/fake_fleet.h
+++ b/test/support/fake_fleet.h
@@ -1,7 +1,7 @@
 /** \file
- * Defines fake_fleet, a few nodes' worth of the shipped slot, rate and action controllers with a log in memory,
- * time passed in, and faults at their interfaces: crashes, pauses, lost and late messages, a log that is away,
- * clocks of different rates and wrong views of who is alive.
+ * Defines fake_fleet, a few nodes' worth of the shipped slot, rate and action controllers with a log in
+ * memory, time passed in, and faults at their interfaces: crashes, pauses, lost and late messages, a log that
+ * is away, clocks of different rates and wrong views of who is alive.
  */
 #pragma once
 
@@ -57,7 +57,8 @@
     /** Lets \p time pass with all nodes ticking and no new faults. */
     void settle(duration time);
 
-    /** Sends \p count requests of the organisation spread over the nodes within \p time. \return served ones. */
+    /** Sends \p count requests of the organisation spread over the nodes within \p time. \return served ones.
+     */
     std::size_t offer(std::size_t count, duration time);
 
     void crash(std::size_t node);
--- a/test/support/process_fleet.cpp
+++ b/test/support/process_fleet.cpp
@@ -17,8 +17,7 @@
 
 static const std::string binaries = POMELOHUB_BINARIES;
 
-child_process::child_process(
-    const std::vector<std::string>& arguments, const std::string& log, bool hasInput)
+child_process::child_process(const std::vector<std::string>& arguments, const std::string& log, bool hasInput)
 {
     std::vector<char*> words;
     for (const auto& argument : arguments)
@@ -152,8 +151,7 @@
 std::string freshKey()
 {
     static std::atomic<std::uint64_t> number { static_cast<std::uint64_t>(::getpid()) << 16 };
-    return makeIdempotencyKey(
-        std::chrono::floor<milliseconds>(std::chrono::system_clock::now()), ++number);
+    return makeIdempotencyKey(std::chrono::floor<milliseconds>(std::chrono::system_clock::now()), ++number);
 }
 
 process_fleet::process_fleet(fleet_options options)
@@ -163,9 +161,9 @@
         / ("pomelohub-test-" + std::to_string(::getpid()) + "-" + std::to_string(freePort()));
     std::filesystem::create_directories(m_directory);
     std::ofstream(m_directory / "secrets") << "a secret for datagrams\n";
-    runProgram({ "/usr/bin/openssl", "req", "-x509", "-newkey", "ec", "-pkeyopt",
-        "ec_paramgen_curve:P-256", "-nodes", "-days", "2", "-subj", "/CN=authority", "-keyout",
-        m_directory / "authority.key", "-out", m_directory / "authority.pem" });
+    runProgram({ "/usr/bin/openssl", "req", "-x509", "-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:P-256",
+        "-nodes", "-days", "2", "-subj", "/CN=authority", "-keyout", m_directory / "authority.key", "-out",
+        m_directory / "authority.pem" });
     m_logPort = freePort();
     m_log = std::make_unique<child_process>(
         std::vector<std::string> { binaries + "/standin_log", "--port", std::to_string(m_logPort) },
@@ -189,10 +187,11 @@
 void process_fleet::makeCertificate(const std::string& name) const
 {
     auto file = [&](const std::string& ending) { return (m_directory / (name + ending)).string(); };
-    runProgram({ "/usr/bin/openssl", "req", "-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:P-256",
-        "-nodes", "-subj", "/CN=" + name, "-keyout", file(".key"), "-out", file(".csr") });
-    runProgram({ "/usr/bin/openssl", "x509", "-req", "-in", file(".csr"), "-CA", m_directory / "authority.pem",
-        "-CAkey", m_directory / "authority.key", "-CAcreateserial", "-days", "2", "-out", file(".pem") });
+    runProgram({ "/usr/bin/openssl", "req", "-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:P-256", "-nodes",
+        "-subj", "/CN=" + name, "-keyout", file(".key"), "-out", file(".csr") });
+    runProgram(
+        { "/usr/bin/openssl", "x509", "-req", "-in", file(".csr"), "-CA", m_directory / "authority.pem",
+            "-CAkey", m_directory / "authority.key", "-CAcreateserial", "-days", "2", "-out", file(".pem") });
 }
 
 fleet_node& process_fleet::addNode(int logPort)
@@ -244,7 +243,8 @@
     node.backendProcess = std::make_unique<child_process>(
         std::vector<std::string> { binaries + "/standin_backend", "--port", std::to_string(node.backendPort),
             "--admin", at(node.admin), "--id", node.backend, "--service", "example", "--service-ms",
-            std::to_string(m_options.serviceMillis), "--cold-answers", std::to_string(m_options.coldAnswers) },
+            std::to_string(m_options.serviceMillis), "--cold-answers",
+            std::to_string(m_options.coldAnswers) },
         m_directory / (node.backend + ".log"));
 }
 
--- a/test/support/process_fleet.h
+++ b/test/support/process_fleet.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines process_fleet, a fleet of real processes on loopback with the stand-ins, for tests that kill, freeze
- * and cut them. Tests wait for conditions with a bound; none depends on how long a step takes.
+ * Defines process_fleet, a fleet of real processes on loopback with the stand-ins, for tests that kill,
+ * freeze and cut them. Tests wait for conditions with a bound; none depends on how long a step takes.
  */
 #pragma once
 
@@ -104,7 +104,8 @@
     int runsOf(const std::string& key) const;
 
     /** A GET with the organisation's key. */
-    call_answer get(const fleet_node& node, const std::string& path, const std::string& key = "test-key") const;
+    call_answer get(
+        const fleet_node& node, const std::string& path, const std::string& key = "test-key") const;
     call_answer act(const fleet_node& node, const std::string& key, const std::string& body = "x") const;
 
     const std::filesystem::path& directory() const { return m_directory; }
@@ -124,8 +125,8 @@
 int freePort();
 
 /** Waits until \p condition holds. \return whether it did within \p bound. */
-bool eventually(const std::function<bool()>& condition,
-    std::chrono::milliseconds bound = std::chrono::seconds(30));
+bool eventually(
+    const std::function<bool()>& condition, std::chrono::milliseconds bound = std::chrono::seconds(30));
 
 /** Runs a program to its end. \return its exit status. */
 int runProgram(const std::vector<std::string>& arguments, const std::string& log = "/dev/null");
