--- a/packages/decisions/src/gray_detector.cpp
+++ b/packages/decisions/src/gray_detector.cpp
@@ -35,17 +35,16 @@
 {
 }
 
-backend_window gray_detector::closeTick(const backend_entry& entry)
+backend_window gray_detector::closeTick(history& past, const backend_stats& stats) const
 {
-    auto& past = m_histories[entry.id];
-    auto answers = entry.stats->answers.load(std::memory_order_acquire);
-    auto failures = entry.stats->failures.load();
-    auto latencySum = entry.stats->latencySum.load();
+    auto answers = stats.answers.load(std::memory_order_acquire);
+    auto failures = stats.failures.load();
+    auto latencySum = stats.latencySum.load();
     backend_window tick;
     tick.answers = answers - past.answers;
     tick.failures = std::min(failures - past.failures, tick.answers);
     tick.latencySum = std::chrono::microseconds(latencySum - past.latencySum);
-    tick.stuck = tick.answers == 0 ? entry.stats->inFlight.load() : 0;
+    tick.stuck = tick.answers == 0 ? stats.inFlight.load() : 0;
     past.answers = answers;
     past.failures = failures;
     past.latencySum = latencySum;
@@ -89,15 +88,19 @@
 std::vector<backend_server_id> gray_detector::tick(const service_view& view)
 {
     std::vector<backend_window> windows;
+    std::vector<history*> histories;
     backend_window total;
     for (const auto& entry : view.backends) {
-        windows.push_back(closeTick(entry));
+        auto& past = m_histories[entry.stats.get()];
+        past.stats = entry.stats;
+        histories.push_back(&past);
+        windows.push_back(closeTick(past, *entry.stats));
         total = total + windows.back();
     }
     std::vector<backend_server_id> suspects;
     for (std::size_t i = 0; i < view.backends.size(); ++i) {
         const auto& entry = view.backends[i];
-        auto& past = m_histories[entry.id];
+        auto& past = *histories[i];
         noteTick(past, isBad(windows[i], total - windows[i]));
         entry.stats->weight = past.suspect ? m_policy.suspectWeight : backend_stats::fullWeight;
         if (past.suspect)
@@ -106,9 +109,10 @@
     return suspects;
 }
 
-void gray_detector::retain(const std::function<bool(const backend_server_id&)>& known)
+void gray_detector::trim(unsigned otherHolders)
 {
-    std::erase_if(m_histories, [&](const auto& entry) { return !known(entry.first); });
+    std::erase_if(
+        m_histories, [&](const auto& entry) { return entry.second.stats->use_count() <= otherHolders + 1; });
 }
 
 } // namespace pomelohub
--- a/packages/decisions/src/gray_detector.h
+++ b/packages/decisions/src/gray_detector.h
@@ -7,7 +7,6 @@
 #include "fleet_view.h"
 
 #include <deque>
-#include <map>
 
 namespace pomelohub {
 
@@ -45,11 +44,12 @@
      * interval. \return the backend servers of the service that are suspect. */
     std::vector<backend_server_id> tick(const service_view& view);
 
-    /** Forgets backend servers that are not in \p known. */
-    void retain(const std::function<bool(const backend_server_id&)>& known);
+    /** Forgets backend servers of whose statistics at most \p otherHolders others hold a count. */
+    void trim(unsigned otherHolders);
 
 private:
     struct history {
+        handle<backend_stats> stats;
         std::uint64_t answers = 0;
         std::uint64_t failures = 0;
         std::uint64_t latencySum = 0;
@@ -59,12 +59,12 @@
         bool suspect = false;
     };
 
-    backend_window closeTick(const backend_entry& entry);
+    backend_window closeTick(history& past, const backend_stats& stats) const;
     bool isBad(const backend_window& own, const backend_window& others) const;
     void noteTick(history& past, bool bad) const;
 
     gray_policy m_policy;
-    std::map<backend_server_id, history> m_histories;
+    std::unordered_map<const backend_stats*, history> m_histories;
 };
 
 } // namespace pomelohub
--- a/packages/decisions/src/membership.cpp
+++ b/packages/decisions/src/membership.cpp
@@ -203,7 +203,7 @@
         return;
     auto record = found->second;
     record.status = member_status::suspect;
-    mergeOne(record, now);
+    mergeNews(record, now);
 }
 
 void membership::expireSuspects(instant now)
@@ -215,7 +215,7 @@
     }
     for (auto& record : dead) {
         record.status = member_status::dead;
-        mergeOne(record, now);
+        mergeNews(record, now);
     }
     std::erase_if(m_others, [&](const auto& entry) {
         if (isPresent(entry.second.status) || now - m_statusSince[entry.first] < m_policy.forgetAfter)
@@ -233,7 +233,8 @@
     std::vector<outgoing_gossip> out;
     if (message.from.node == m_self.life.node)
         return out;
-    merge(message.news, now);
+    for (const auto& record : message.news)
+        mergeNews(record, now);
     switch (message.kind) {
     case gossip_kind::probe:
         out.push_back(
@@ -282,23 +283,29 @@
         mergeOne(record, now);
 }
 
-void membership::mergeOne(const member_record& record, instant now)
+void membership::mergeNews(const member_record& record, instant now)
+{
+    if (mergeOne(record, now))
+        spread(record.life.node);
+}
+
+bool membership::mergeOne(const member_record& record, instant now)
 {
     if (record.life.node == m_self.life.node) {
         refute(record);
-        return;
+        return false;
     }
     auto [found, isNew] = m_others.try_emplace(record.life.node, record);
     if (!isNew && !prevails(record, found->second))
-        return;
+        return false;
     if (isNew || found->second.status != record.status || found->second.life != record.life)
         m_statusSince[record.life.node] = now;
     if (!isNew)
         m_othersDigest ^= digestOf(found->second);
     m_othersDigest ^= digestOf(record);
     found->second = record;
-    spread(record.life.node);
     m_changed(record);
+    return true;
 }
 
 void membership::refute(const member_record& record)
--- a/packages/decisions/src/membership.h
+++ b/packages/decisions/src/membership.h
@@ -106,7 +106,8 @@
     std::vector<outgoing_gossip> receive(
         const gossip_message& message, const log_cursors& cursors, instant now);
 
-    /** Takes in records from a full exchange or from the log. */
+    /** Takes in records from a full exchange or from the log. They are no news to others, who have the same
+     * sources, so they are not passed on. */
     void merge(const std::vector<member_record>& records, instant now);
 
     /** Changes what this node says of itself and spreads it. */
@@ -151,7 +152,8 @@
 
     gossip_message makeMessage(gossip_kind kind, std::uint64_t sequence, const log_cursors& cursors);
     std::vector<member_record> takeNews();
-    void mergeOne(const member_record& record, instant now);
+    bool mergeOne(const member_record& record, instant now);
+    void mergeNews(const member_record& record, instant now);
     void refute(const member_record& record);
     void spread(const node_id& node);
     std::size_t spreadLimit() const;
--- a/packages/node/src/backend_registry.cpp
+++ b/packages/node/src/backend_registry.cpp
@@ -1,5 +1,7 @@
 #include "backend_registry.h"
 
+#include <algorithm>
+
 namespace pomelohub {
 
 /** Rounds without requests after which a service is no longer judged: until its windows are empty. */
@@ -80,7 +82,8 @@
     for (auto& [service, state] : m_services) {
         if (!state.activity)
             continue;
-        state.idleRounds = state.activity->hasRequests.exchange(false) ? 0 : state.idleRounds + 1;
+        state.idleRounds
+            = state.activity->hasRequests.exchange(false) ? 0 : std::min(state.idleRounds + 1, neverActive);
         if (state.idleRounds > idleRoundsToRest)
             continue;
         auto found = view->services.find(service);
@@ -89,6 +92,11 @@
     }
 }
 
+void backend_registry::trim()
+{
+    std::erase_if(m_stats, [](const auto& entry) { return entry.second->use_count() == 1; });
+}
+
 const backend_entry* backend_registry::find(const backend_server_id& id) const
 {
     for (const auto& [service, state] : m_services) {
--- a/packages/node/src/backend_registry.h
+++ b/packages/node/src/backend_registry.h
@@ -28,14 +28,19 @@
     /** Calls \p use for each service that had requests since the last call. */
     void forEachActive(const std::function<void(const service_id&, const service_view&)>& use);
 
+    /** Forgets the statistics of backend servers that nobody announces any more. */
+    void trim();
+
     /** The backend server called \p id, or null. Valid until the next update. */
     const backend_entry* find(const backend_server_id& id) const;
 
 private:
+    static constexpr int neverActive = 1'000'000;
+
     struct service_state {
         std::map<backend_server_id, backend_entry> backends;
         handle<service_activity> activity;
-        int idleRounds = 0;
+        int idleRounds = neverActive;
     };
 
     void removeAllOf(const node_id& node);
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -121,8 +121,12 @@
         return;
     handle<node_directory> next(new node_directory);
     auto members = m_members.all();
-    for (const auto* record : members)
+    m_dataCentres.clear();
+    for (const auto* record : members) {
         next->endpoints[record->life.node] = record->endpoint;
+        if (isPresent(record->status))
+            m_dataCentres.insert(record->dataCentre);
+    }
     m_directory.publish(next);
     m_inForce = confirmation_controller::inForce(members);
     updateSlotMembers();
@@ -455,6 +459,9 @@
         m_rates.trim(now.monotonic);
         m_actions.trim(now.wall);
         m_leases.trim(now.monotonic);
+        // Of a backend server that is gone, only the registry holds the statistics besides.
+        m_gray.trim(1);
+        m_registry.trim();
         m_confirmations.retain(m_members.all());
     }
     if (now.monotonic >= m_nextWindow) {
@@ -533,12 +540,7 @@
 
 void control_state::updateRamp(const present& now)
 {
-    std::set<data_centre_id> dataCentres { m_settings.dataCentre };
-    for (const auto& [node, record] : m_members.others()) {
-        if (isPresent(record.status))
-            dataCentres.insert(record.dataCentre);
-    }
-    for (const auto& dataCentre : dataCentres)
+    for (const auto& dataCentre : m_dataCentres)
         m_ramp.update(dataCentre, table().isInService(dataCentre), now.monotonic);
 }
 
--- a/packages/node/src/control_state.h
+++ b/packages/node/src/control_state.h
@@ -188,6 +188,7 @@
     instant m_nextRestatement {};
     instant m_nextTrim {};
     instant m_nextWindow {};
+    std::set<data_centre_id> m_dataCentres; ///< Of live members.
     std::uint64_t m_inForce = 0;
     std::size_t m_restateShard = 0;
     bool m_membersChanged = true;
