--- a/packages/node/src/action_authority.cpp
+++ b/packages/node/src/action_authority.cpp
@@ -95,7 +95,7 @@
         release();
         // The answer is kept before its end is passed on, so that a repeat after it finds it.
         control->withState([self = handle<running_action>(this)](control_state& state, const present& now) {
-            state.finishAction(self->key, std::move(self->answer), now);
+            state.actions().finish(self->key, std::move(self->answer), now);
             self->asked->responseBody().finish();
         });
     }
@@ -106,9 +106,9 @@
         control->withState(
             [self = handle<running_action>(this), why](control_state& state, const present& now) {
                 if (why.outcome == execution::notRun)
-                    state.forgetAction(self->key, now);
+                    state.actions().forget(self->key, now);
                 else
-                    state.markActionUnknown(self->key, now);
+                    state.actions().markUnknown(self->key, now);
                 self->asked->refuse(why);
             });
     }
@@ -157,7 +157,7 @@
     auto request = digestOf(*asked, body);
     m_control->withState([self = handle<action_authority>(this), asked, key, request](
                              control_state& state, const present& now) {
-        state.beginAction(key, request, now, [self, asked, key](result<ledger_decision> decision) {
+        state.actions().begin(key, request, now, [self, asked, key](result<ledger_decision> decision) {
             self->decided(asked, key, std::move(decision));
         });
     });
--- /dev/null
+++ b/packages/node/src/action_desk.cpp
@@ -0,0 +1,54 @@
+#include "action_desk.h"
+
+namespace pomelohub {
+
+static constexpr std::chrono::milliseconds retrySoon { 1000 };
+
+action_desk::action_desk(ledger_policy policy, may_use_hook mayUse)
+    : m_ledger(policy)
+    , m_mayUse(std::move(mayUse))
+{
+}
+
+void action_desk::begin(const action_key& key, const digest& request, const present& now, action_hook done)
+{
+    if (!m_mayUse(slotOf(hashOf(key)), now.monotonic)) {
+        done(notRun(
+            refusal_reason::authorityUnavailable, "this node does not hold the key's slot", retrySoon));
+        return;
+    }
+    auto decided = m_ledger.begin(key, request, now.wall);
+    if (decided && std::holds_alternative<await_action>(*decided))
+        m_waiting[key].push_back({ request, std::move(done) });
+    else
+        done(std::move(decided));
+}
+
+void action_desk::retryWaiting(const action_key& key, const present& now)
+{
+    auto waiting = m_waiting.extract(key);
+    if (waiting.empty())
+        return;
+    for (auto& each : waiting.mapped())
+        begin(key, each.request, now, std::move(each.done));
+}
+
+void action_desk::finish(const action_key& key, stored_answer answer, const present& now)
+{
+    m_ledger.finish(key, std::move(answer));
+    retryWaiting(key, now);
+}
+
+void action_desk::forget(const action_key& key, const present& now)
+{
+    m_ledger.forget(key);
+    retryWaiting(key, now);
+}
+
+void action_desk::markUnknown(const action_key& key, const present& now)
+{
+    m_ledger.markUnknown(key);
+    retryWaiting(key, now);
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/action_desk.h
@@ -0,0 +1,46 @@
+/** \file
+ * Defines action_desk, the ledger of keyed actions with those who wait for one that is running.
+ */
+#pragma once
+
+#include "action_ledger.h"
+
+#include <map>
+
+namespace pomelohub {
+
+/** Whether this node is the authority for a slot at the given time. */
+using may_use_hook = std::function<bool(slot_index slot, instant now)>;
+
+/** Takes the decision about an action, at once or when the run that it waits for has ended. */
+using action_hook = std::function<void(result<ledger_decision>)>;
+
+/** Thread safety: one thread at a time. */
+class action_desk {
+public:
+    action_desk(ledger_policy policy, may_use_hook mayUse);
+
+    void begin(const action_key& key, const digest& request, const present& now, action_hook done);
+    void finish(const action_key& key, stored_answer answer, const present& now);
+    void forget(const action_key& key, const present& now);
+    void markUnknown(const action_key& key, const present& now);
+
+    /** See action_ledger::startSlot(). */
+    void startSlot(slot_index slot, wall_time since) { m_ledger.startSlot(slot, since); }
+    void trim(wall_time now) { m_ledger.trim(now); }
+    std::size_t size() const { return m_ledger.size(); }
+
+private:
+    struct waiting_action {
+        digest request {};
+        action_hook done;
+    };
+
+    void retryWaiting(const action_key& key, const present& now);
+
+    action_ledger m_ledger;
+    may_use_hook m_mayUse;
+    std::map<action_key, std::vector<waiting_action>> m_waiting;
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/node/src/backend_judge.cpp
@@ -0,0 +1,63 @@
+#include "backend_judge.h"
+
+namespace pomelohub {
+
+static constexpr duration askInterval = std::chrono::milliseconds(500);
+
+backend_judge::backend_judge(
+    node_id self, gray_policy policy, backend_registry& registry, decision_hook decided)
+    : m_self(std::move(self))
+    , m_detector(std::move(policy))
+    , m_registry(registry)
+    , m_decided(std::move(decided))
+{
+}
+
+std::vector<ejection_request> backend_judge::tick(const present& now)
+{
+    returnLapsed(now);
+    std::vector<ejection_request> requests;
+    m_registry.forEachActive([&](const service_id& service, const service_view& view) {
+        auto suspects = m_detector.tick(view);
+        auto& nextAsk = m_nextAsk[service];
+        if (suspects.empty() || now.monotonic < nextAsk)
+            return;
+        nextAsk = now.monotonic + askInterval;
+        for (const auto& suspect : suspects)
+            m_decided(
+                { now.wall, suspect.text(), "gray", "suspect", "worse than its peers in " + service.text() });
+        requests.push_back({ service, m_self, std::move(suspects) });
+    });
+    return requests;
+}
+
+void backend_judge::returnLapsed(const present& now)
+{
+    for (const auto& [backend, until] : m_ejectedUntil) {
+        const auto* entry = m_registry.find(backend);
+        if (entry && until <= now.monotonic && entry->stats->ejected.exchange(false))
+            m_decided({ now.wall, backend.text(), "ejection", "returned", "the permit lapsed" });
+    }
+    std::erase_if(m_ejectedUntil, [&](const auto& entry) { return entry.second <= now.monotonic; });
+}
+
+void backend_judge::takePermit(const ejection_permit& permit, instant asked, const present& now)
+{
+    for (const auto& backend : permit.ejected) {
+        const auto* entry = m_registry.find(backend);
+        if (!entry)
+            continue;
+        m_ejectedUntil[backend] = asked + permit.lifetime;
+        if (!entry->stats->ejected.exchange(true))
+            m_decided({ now.wall, backend.text(), "ejection", "ejected", "permit of the authority" });
+    }
+}
+
+void backend_judge::trim()
+{
+    // Of a backend server that is gone, only the registry holds the statistics besides.
+    m_detector.trim(1);
+    m_registry.trim();
+}
+
+} // namespace pomelohub
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -13,7 +13,6 @@
     constexpr duration reportInterval = std::chrono::seconds(15);
     constexpr duration slotInterval = milliseconds(500);
     constexpr duration trimInterval = std::chrono::seconds(30);
-    constexpr duration ejectionAskInterval = milliseconds(500);
     constexpr duration catchUpDelay = milliseconds(300);
     /** How long views may differ before a node takes another's records. */
     constexpr duration differingTime = std::chrono::seconds(3);
@@ -46,20 +45,6 @@
 
 } // namespace
 
-std::string toText(log_stream stream)
-{
-    return stream == log_stream::configuration ? "configuration" : "fleet";
-}
-
-std::optional<log_stream> logStreamFromText(std::string_view text)
-{
-    for (auto stream : { log_stream::configuration, log_stream::fleet }) {
-        if (toText(stream) == text)
-            return stream;
-    }
-    return std::nullopt;
-}
-
 control_state::control_state(const node_settings& settings, node_life self, control_hooks hooks)
     : m_settings(settings)
     , m_self(std::move(self))
@@ -68,12 +53,13 @@
           [this](const member_record& record) { memberChanged(record); })
     , m_slots(m_self, makeSlotPolicy(settings))
     , m_rates(grantLifetime, slot_policy {}.clockRateError, m_self.life)
-    , m_actions(ledger_policy {})
+    , m_actions(ledger_policy {}, [this](slot_index slot, instant now) { return m_slots.mayUse(slot, now); })
     , m_ejection(settings.ejection)
-    , m_gray(settings.gray)
     , m_ramp(ramp_policy {})
+    , m_judge(settings.node, settings.gray, m_registry, m_hooks.decided)
     , m_quarantine(quarantine_policy {})
     , m_journal(journalLength)
+    , m_history(keptRecords)
     , m_knownHolders(slotCount)
 {
 }
@@ -169,17 +155,6 @@
     }
 }
 
-void control_state::keep(log_stream stream, const log_page& page)
-{
-    auto& recent = m_recent[indexOf(stream)];
-    for (const auto& record : page.records) {
-        if (recent.empty() || record.offset > recent.back().offset)
-            recent.push_back(record);
-    }
-    while (recent.size() > keptRecords)
-        recent.pop_front();
-}
-
 void control_state::takePage(log_stream stream, const log_page& page, instant asked, const present& now)
 {
     m_lastLogContact = asked;
@@ -195,7 +170,7 @@
 
 void control_state::takeRelayedPage(log_stream stream, const log_page& page, const present& now)
 {
-    keep(stream, page);
+    m_history.keep(stream, page);
     if (stream == log_stream::configuration)
         applyConfiguration(page, now);
     else
@@ -276,15 +251,7 @@
 
 log_page control_state::recentRecords(log_stream stream, std::uint64_t from) const
 {
-    log_page page;
-    const auto& recent = m_recent[indexOf(stream)];
-    page.first = recent.empty() ? nextOffset(stream) : recent.front().offset;
-    page.next = nextOffset(stream);
-    for (const auto& record : recent) {
-        if (record.offset >= from)
-            page.records.push_back(record);
-    }
-    return page;
+    return m_history.read(stream, from, nextOffset(stream));
 }
 
 start_state control_state::startState() const
@@ -489,9 +456,7 @@
         m_rates.trim(now.monotonic);
         m_actions.trim(now.wall);
         m_leases.trim(now.monotonic);
-        // Of a backend server that is gone, only the registry holds the statistics besides.
-        m_gray.trim(1);
-        m_registry.trim();
+        m_judge.trim();
         m_quarantine.trim(now.monotonic);
         m_confirmations.retain(m_members.all());
     }
@@ -549,22 +514,7 @@
 {
     m_nextJudgement = now.monotonic + judgementInterval;
     updateRamp(now);
-    for (auto& [backend, until] : m_ejectedUntil) {
-        const auto* entry = m_registry.find(backend);
-        if (entry && until <= now.monotonic && entry->stats->ejected.exchange(false))
-            decide(now, backend.text(), "ejection", "returned", "the permit lapsed");
-    }
-    std::erase_if(m_ejectedUntil, [&](const auto& entry) { return entry.second <= now.monotonic; });
-    m_registry.forEachActive([&](const service_id& service, const service_view& view) {
-        auto suspects = m_gray.tick(view);
-        auto& nextAsk = m_nextEjectionAsk[service];
-        if (suspects.empty() || now.monotonic < nextAsk)
-            return;
-        nextAsk = now.monotonic + ejectionAskInterval;
-        for (const auto& suspect : suspects)
-            decide(now, suspect.text(), "gray", "suspect", "worse than its peers in " + service.text());
-        out.ejections.push_back({ service, m_self.node, std::move(suspects) });
-    });
+    out.ejections = m_judge.tick(now);
 }
 
 void control_state::restateConfiguration(control_outputs& out, const present& now)
@@ -634,60 +584,6 @@
     return m_ejection.request(request, capacity, now);
 }
 
-void control_state::takePermit(const ejection_permit& permit, instant asked, const present& now)
-{
-    for (const auto& backend : permit.ejected) {
-        const auto* entry = m_registry.find(backend);
-        if (!entry)
-            continue;
-        m_ejectedUntil[backend] = asked + permit.lifetime;
-        if (!entry->stats->ejected.exchange(true))
-            decide(now, backend.text(), "ejection", "ejected", "permit of the authority");
-    }
-}
-
-void control_state::beginAction(
-    const action_key& key, const digest& request, const present& now, action_hook done)
-{
-    if (!m_slots.mayUse(slotOf(hashOf(key)), now.monotonic)) {
-        done(notRun(refusal_reason::authorityUnavailable, "this node does not hold the key's slot",
-            milliseconds(1000)));
-        return;
-    }
-    auto decided = m_actions.begin(key, request, now.wall);
-    if (decided && std::holds_alternative<await_action>(*decided))
-        m_waiting[key].push_back({ request, std::move(done) });
-    else
-        done(std::move(decided));
-}
-
-void control_state::retryWaiting(const action_key& key, const present& now)
-{
-    auto waiting = m_waiting.extract(key);
-    if (waiting.empty())
-        return;
-    for (auto& each : waiting.mapped())
-        beginAction(key, each.request, now, std::move(each.done));
-}
-
-void control_state::finishAction(const action_key& key, stored_answer answer, const present& now)
-{
-    m_actions.finish(key, std::move(answer));
-    retryWaiting(key, now);
-}
-
-void control_state::forgetAction(const action_key& key, const present& now)
-{
-    m_actions.forget(key);
-    retryWaiting(key, now);
-}
-
-void control_state::markActionUnknown(const action_key& key, const present& now)
-{
-    m_actions.markUnknown(key);
-    retryWaiting(key, now);
-}
-
 void control_state::setBackends(std::vector<announced_backend> backends)
 {
     m_members.updateSelf([&](member_record& self) { self.backends = std::move(backends); });
--- a/packages/node/src/control_state.h
+++ b/packages/node/src/control_state.h
@@ -5,14 +5,13 @@
  */
 #pragma once
 
-#include "action_ledger.h"
-#include "backend_registry.h"
+#include "action_desk.h"
+#include "backend_judge.h"
 #include "configuration_codec.h"
 #include "confirmation_controller.h"
 #include "data_centre_ramp.h"
 #include "decision_journal.h"
-#include "ejection_budget.h"
-#include "gray_detector.h"
+#include "log_history.h"
 #include "node_messages.h"
 #include "node_settings.h"
 #include "readiness_filter.h"
@@ -32,15 +31,6 @@
     std::array<std::optional<node_id>, slotCount> holders;
 };
 
-/** Streams of the platform's log. */
-enum class log_stream {
-    configuration,
-    fleet,
-};
-
-std::string toText(log_stream stream);
-std::optional<log_stream> logStreamFromText(std::string_view text);
-
 /** A record that this node wants appended. */
 struct append_request {
     log_stream stream = log_stream::fleet;
@@ -103,12 +93,11 @@
     // Authority. Each answer is given at once, or later for actions that are running.
     result<rate_grant> grant(const rate_request& request, instant now);
     result<ejection_permit> permit(const ejection_request& request, instant now);
-    void takePermit(const ejection_permit& permit, instant asked, const present& now);
-    using action_hook = std::function<void(result<ledger_decision>)>;
-    void beginAction(const action_key& key, const digest& request, const present& now, action_hook done);
-    void finishAction(const action_key& key, stored_answer answer, const present& now);
-    void forgetAction(const action_key& key, const present& now);
-    void markActionUnknown(const action_key& key, const present& now);
+    void takePermit(const ejection_permit& permit, instant asked, const present& now)
+    {
+        m_judge.takePermit(permit, asked, now);
+    }
+    action_desk& actions() { return m_actions; }
 
     // Requests that crash backend servers.
     void noteCrash(request_fingerprint fingerprint, const backend_server_id& backend,
@@ -125,7 +114,6 @@
     const slot_controller& slotControl() const { return m_slots; }
     const decision_journal& journal() const { return m_journal; }
     const rate_ledger& rates() const { return m_rates; }
-    const action_ledger& actions() const { return m_actions; }
     const backend_registry& registry() const { return m_registry; }
     /** The offset before which every record is in force at every live member. */
     std::uint64_t inForceOffset() const { return m_inForce; }
@@ -133,18 +121,12 @@
     std::chrono::milliseconds evidenceAge(instant now) const;
 
 private:
-    struct waiting_action {
-        digest request {};
-        action_hook done;
-    };
-
     void addNotices(std::vector<outgoing_gossip>& datagrams, instant now);
     void memberChanged(const member_record& record);
     void publishMembers();
     void publishSlots(const present& now);
     void applyConfiguration(const log_page& page, const present& now);
     void applyFleet(const log_page& page, const present& now);
-    void keep(log_stream stream, const log_page& page);
     void noteNewSlots(const present& now);
     log_cursors cursors(instant now) const;
     void updateSlotMembers();
@@ -157,7 +139,6 @@
     void judgeBackends(control_outputs& out, const present& now);
     void restateConfiguration(control_outputs& out, const present& now);
     void updateRamp(const present& now);
-    void retryWaiting(const action_key& key, const present& now);
     void decide(const present& now, std::string subject, std::string stage, std::string outcome,
         std::string reason) const;
 
@@ -168,24 +149,21 @@
     membership m_members;
     slot_controller m_slots;
     rate_ledger m_rates;
-    action_ledger m_actions;
+    action_desk m_actions;
     ejection_budget m_ejection;
     confirmation_controller m_confirmations;
-    gray_detector m_gray;
     data_centre_ramp m_ramp;
     backend_registry m_registry;
+    backend_judge m_judge;
     token_leases m_leases;
     crash_quarantine m_quarantine;
     decision_journal m_journal;
     rcu_cell<node_directory> m_directory;
     rcu_cell<slot_view> m_slotView;
-    std::array<std::deque<log_record>, 2> m_recent;
+    log_history m_history;
     std::array<std::uint64_t, 2> m_next {};
     std::map<std::uint64_t, record_outcome> m_outcomes;
     std::vector<std::optional<node_life>> m_knownHolders;
-    std::map<action_key, std::vector<waiting_action>> m_waiting;
-    std::map<backend_server_id, instant> m_ejectedUntil;
-    std::map<service_id, instant> m_nextEjectionAsk;
     std::optional<peer_address> m_ahead; ///< A peer that has read further, with the time it was seen.
     instant m_aheadSince {};
     std::optional<peer_address> m_differing; ///< A peer with other member records.
