Let a node that missed news repair its view at once; do not spin on failed accepts

Cause of 9.7 s until all of 64 nodes knew 21 replaced ones: the exchange of all records was priced at 150 ms a member from the first one on, which the join had used up. Three may now come at once; the price bounds the rest. To be measured again.

--- a/packages/messages/src/peer_listener.cpp
+++ b/packages/messages/src/peer_listener.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds handshakeTimeout { 2000 };
+    constexpr std::chrono::milliseconds acceptPause { 100 };
 
     /** One handshake with its timer. */
     struct handshake : counted<handshake> {
@@ -47,6 +48,7 @@
     , m_clock(std::move(clock))
     , m_strand(asio::make_strand(io))
     , m_acceptor(m_strand)
+    , m_acceptTimer(m_strand)
 {
 }
 
@@ -84,13 +86,24 @@
             asio::post(self->m_strand, [self, error, socket = std::move(socket)]() mutable {
                 if (error == asio::error::operation_aborted || self->m_isShuttingDown)
                     return;
-                if (!error)
-                    self->shakeHands(std::move(socket));
+                if (error)
+                    return self->acceptLater();
+                self->shakeHands(std::move(socket));
                 self->accept();
             });
         });
 }
 
+void peer_listener::acceptLater()
+{
+    // Out of descriptors, for example: an accept that fails at once must not be tried in a loop.
+    m_acceptTimer.expires_after(acceptPause);
+    m_acceptTimer.async_wait([self = handle<peer_listener>(this)](const asio::error_code& stopped) {
+        if (!stopped)
+            self->accept();
+    });
+}
+
 void peer_listener::shakeHands(asio::ip::tcp::socket socket)
 {
     asio::error_code ignored;
--- a/packages/messages/src/peer_listener.h
+++ b/packages/messages/src/peer_listener.h
@@ -30,6 +30,7 @@
 
 private:
     void accept();
+    void acceptLater();
     void shakeHands(asio::ip::tcp::socket socket);
     void established(const handle<peer_session>& session);
 
@@ -39,6 +40,7 @@
     clock_hook m_clock;
     asio::strand<asio::io_context::executor_type> m_strand;
     asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptTimer;
     incoming_hook m_incoming;
     std::function<void(const std::string&)> m_rejected;
     std::set<handle<peer_session>> m_sessions;
--- a/packages/node/src/control_plane.cpp
+++ b/packages/node/src/control_plane.cpp
@@ -229,8 +229,9 @@
 {
     ++m_appendsUnderWay;
     asio::post(m_appender,
-        [self = handle<control_plane>(this), requests = std::move(requests),
-            done = std::move(done)]() mutable { self->runAppends(std::move(requests), std::move(done)); });
+        [self = handle<control_plane>(this), requests = std::move(requests), done = std::move(done)] {
+            self->runAppends(requests, done);
+        });
 }
 
 void control_plane::runAppends(const std::vector<append_request>& requests, const std::function<void()>& done)
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -18,6 +18,7 @@
     constexpr duration differingTime = std::chrono::seconds(3);
     constexpr duration shortestSyncPause = std::chrono::seconds(1);
     constexpr duration syncPauseForMember = milliseconds(150);
+    constexpr int syncsAtOnce = 3;
     constexpr duration restateRound = std::chrono::hours(4);
     constexpr milliseconds grantLifetime { 1000 };
     constexpr std::size_t keptRecords = 2000;
@@ -368,10 +369,11 @@
     bool isOverdue = m_differing && now - m_differingSince >= differingTime;
     if (m_hasMembers && !isOverdue)
         return;
-    // News that a node missed are not sent again, so it takes all records from one peer. The pause grows
-    // with the fleet, which keeps the bytes a second the same.
-    m_nextMemberSync = now
-        + std::max(shortestSyncPause, syncPauseForMember * static_cast<std::int64_t>(m_members.liveCount()));
+    // News that a node missed are not sent again, so it takes all records from one peer. Each exchange is
+    // paid for by a time that grows with the fleet, which bounds the bytes a second; a few may come at once.
+    auto price = syncPauseForMember * static_cast<std::int64_t>(m_members.liveCount());
+    m_syncsPaidUntil = std::max(m_syncsPaidUntil, now) + price;
+    m_nextMemberSync = std::max(now + shortestSyncPause, m_syncsPaidUntil - syncsAtOnce * price);
     if (m_differing)
         out.membersFrom = m_differing;
     else
--- a/packages/node/src/control_state.h
+++ b/packages/node/src/control_state.h
@@ -169,6 +169,7 @@
     std::optional<peer_address> m_differing; ///< A peer with other member records.
     instant m_differingSince {};
     instant m_nextMemberSync {};
+    instant m_syncsPaidUntil {};
     bool m_hasMembers = false;
     instant m_nextJudgement {};
     instant m_nextReport {};
