Leave out a backend server as soon as its node says that it takes no work

Cause: until news of the drain reached an entry node, the draining server looked idle, so the choice of the less loaded sent it most requests, and their retries used up the retry budget. Ruled out: the host, which refused as it must. Change: a refusal of work by the node beside it leaves the server out for 2 s, and such a retry, which costs no backend server anything, takes nothing from the budget.

--- a/packages/decisions/src/backend_chooser.cpp
+++ b/packages/decisions/src/backend_chooser.cpp
@@ -14,9 +14,11 @@
         return std::find(tried.begin(), tried.end(), id) != tried.end();
     }
 
-    bool isUsable(
-        const backend_entry& entry, std::span<const backend_server_id> tried, const chooser_policy& policy)
+    bool isUsable(const backend_entry& entry, std::span<const backend_server_id> tried,
+        const chooser_policy& policy, instant now)
     {
+        if (entry.stats->takesNoWorkUntil.load() > now)
+            return false;
         if (entry.condition == backend_condition::draining || entry.stats->ejected.load())
             return false;
         return !isTried(entry.id, tried) && policy.dataCentreWeight(entry.dataCentre) > 0;
@@ -55,12 +57,12 @@
 }
 
 const backend_entry* chooseBackend(const service_view& view, std::span<const backend_server_id> tried,
-    const data_centre_id& home, const chooser_policy& policy)
+    const data_centre_id& home, const chooser_policy& policy, instant now)
 {
     std::vector<const backend_entry*> candidates;
     candidates.reserve(view.backends.size());
     for (const auto& entry : view.backends) {
-        if (isUsable(entry, tried, policy))
+        if (isUsable(entry, tried, policy, now))
             candidates.push_back(&entry);
     }
     if (candidates.empty())
--- a/packages/decisions/src/backend_chooser.h
+++ b/packages/decisions/src/backend_chooser.h
@@ -29,7 +29,7 @@
 /** Chooses among \p view, leaving out \p tried. \return null when no backend server may be used.
  * Thread safety: any thread; \p view must be kept alive by the caller. */
 const backend_entry* chooseBackend(const service_view& view, std::span<const backend_server_id> tried,
-    const data_centre_id& home, const chooser_policy& policy);
+    const data_centre_id& home, const chooser_policy& policy, instant now);
 
 /** Load by which candidates are compared: work in flight, scaled by slots, latency and weight. */
 double loadOf(const backend_entry& candidate, const data_centre_id& home);
--- a/packages/decisions/src/fleet_view.h
+++ b/packages/decisions/src/fleet_view.h
@@ -32,6 +32,8 @@
     std::atomic<std::uint64_t> latencySum { 0 }; ///< In microseconds over all answers.
     std::atomic<std::uint32_t> weight { fullWeight }; ///< Share of the usual traffic, in thousandths.
     std::atomic<bool> ejected { false };
+    /** The node beside it said that it takes no work; news of that may still be on the way. */
+    std::atomic<instant> takesNoWorkUntil { instant {} };
 
     static constexpr std::uint32_t fullWeight = 1000;
 
--- a/packages/node/src/fleet_forwarder.cpp
+++ b/packages/node/src/fleet_forwarder.cpp
@@ -8,6 +8,16 @@
     constexpr std::int64_t retryShare = 20;
     constexpr std::int64_t retryReserve = 50;
 
+    /** How long a backend server that takes no work is left out, until news of it have come. */
+    constexpr duration timeForNews = std::chrono::seconds(2);
+
+    /** Whether the node beside a backend server says that it takes no work at all. */
+    bool isRefusalOfWork(refusal_reason reason)
+    {
+        return reason == refusal_reason::backendServerDraining || reason == refusal_reason::nodeLeaving
+            || reason == refusal_reason::dataCentreOutOfService || reason == refusal_reason::noBackendServer;
+    }
+
     bool isFailureOfBackend(const verdict& why)
     {
         return why.reason == refusal_reason::backendServerFailed || why.reason == refusal_reason::pathFailed
@@ -59,7 +69,9 @@
     handle<const service_view> view;
     if (fleet && found != fleet->services.end())
         view = found->second;
-    const auto* target = view ? chooseBackend(*view, state->tried, m_parts.home, m_parts.chooser) : nullptr;
+    const auto* target = view
+        ? chooseBackend(*view, state->tried, m_parts.home, m_parts.chooser, m_parts.clock().monotonic)
+        : nullptr;
     if (!target) {
         note(*state, "refused", "no backend server of " + state->request.service.text() + " is usable");
         state->outer->refuse({ execution::notRun, refusal_reason::noBackendServer,
@@ -129,6 +141,9 @@
 void fleet_forwarder::failed(const handle<attempt_state>& state, const verdict& why)
 {
     auto now = m_parts.clock().monotonic;
+    bool takesNoWork = why.outcome == execution::notRun && isRefusalOfWork(why.reason);
+    if (takesNoWork)
+        state->stats->takesNoWorkUntil = now + timeForNews;
     if (isFailureOfBackend(why))
         state->stats->note(true, now - state->sentAt);
     note(*state, "failed",
@@ -140,7 +155,8 @@
             state->request.requestId);
     failed_attempt attempt { why, state->attempts, state->request.isIdempotent,
         state->outer->requestBody().rewind(), state->outer->deadline() };
-    if (!state->outer->isCancelled() && mayRetry(attempt, m_policy, now) && m_budget.tryTake()) {
+    if (!state->outer->isCancelled() && mayRetry(attempt, m_policy, now)
+        && (takesNoWork || m_budget.tryTake())) {
         m_parts.retried();
         tryNext(state);
         return;
--- a/test/performance/decisions.cpp
+++ b/test/performance/decisions.cpp
@@ -130,7 +130,7 @@
     chooser_policy policy { [&](std::uint64_t bound) { return random() % bound; },
         [](const data_centre_id&) { return 1000U; }, nullptr };
     for (auto _ : state)
-        benchmark::DoNotOptimize(chooseBackend(view, {}, data_centre_id("dc"), policy));
+        benchmark::DoNotOptimize(chooseBackend(view, {}, data_centre_id("dc"), policy, now.monotonic));
 }
 BENCHMARK(choosing);
 
--- a/test/performance/policy.cpp
+++ b/test/performance/policy.cpp
@@ -93,7 +93,7 @@
         auto count = std::poisson_distribution<int>(mean)(m_random);
         std::lognormal_distribution<double> noise(0, 0.4);
         for (int i = 0; i < count; ++i) {
-            const auto* chosen = chooseBackend(view, {}, data_centre_id(), m_chooser);
+            const auto* chosen = chooseBackend(view, {}, data_centre_id(), m_chooser, m_now);
             ++m_total;
             if (!chosen)
                 continue;
