Tell starting nodes the whole state of every slot, and repeat a join until it is read

A peer told a starting node only the holder and term of slots that are held. Ruled out: nodes that read the whole log. Change: every slot that a record ever touched is told with term, holder and claimant; the log's restatements carry the same.

A node that started while the log was away appended its join once and never again, so the rights of its former life stayed unusable for 6 h. It now repeats the join until it reads it back.

--- a/packages/decisions/src/slot_controller.cpp
+++ b/packages/decisions/src/slot_controller.cpp
@@ -42,6 +42,8 @@
     }
 }
 
+void slot_controller::adopt(const slot_restatement& restated, instant now) { m_table.adopt(restated, now); }
+
 void slot_controller::noteEvidence(instant when) { m_lastEvidence = std::max(m_lastEvidence, when); }
 
 void slot_controller::setMembers(std::span<const slot_candidate> members)
@@ -127,13 +129,10 @@
     if (now - m_lastRestated < m_policy.restateInterval)
         return;
     m_lastRestated = now;
-    slot_record restated { slot_change::restate, m_self, {}, {} };
-    for (slot_index slot = 0; slot < slotCount; ++slot) {
-        if (m_table.at(slot).holder == m_self)
-            addSlot(restated, slot, m_table.at(slot).term);
-    }
-    if (!restated.slots.empty())
-        records.push_back(std::move(restated));
+    slot_record record { slot_change::restate, m_self, {}, {}, m_table.restate() };
+    std::erase_if(record.restated, [&](const slot_restatement& state) { return state.holder != m_self; });
+    if (!record.restated.empty())
+        records.push_back(std::move(record));
 }
 
 std::vector<slot_record> slot_controller::leave()
--- a/packages/decisions/src/slot_controller.h
+++ b/packages/decisions/src/slot_controller.h
@@ -39,6 +39,10 @@
     /** Applies a record read from the fleet stream. */
     void apply(const slot_record& record, instant now);
 
+    /** Takes over the state of one slot from a peer. Never makes this node a holder that it was not: a life
+     * is made anew at each start. */
+    void adopt(const slot_restatement& restated, instant now);
+
     /** Notes that the stream was known up to its end at \p when: the time at which the question was sent. */
     void noteEvidence(instant when);
 
--- a/packages/decisions/src/slot_table.cpp
+++ b/packages/decisions/src/slot_table.cpp
@@ -13,6 +13,8 @@
         endEarlierLives(record.by, now);
         return;
     }
+    for (const auto& restated : record.restated)
+        adopt(restated, now);
     for (std::size_t i = 0; i < record.slots.size() && i < record.terms.size(); ++i) {
         if (record.slots[i] < slotCount)
             applyToSlot(record, m_slots[record.slots[i]], record.terms[i], now);
@@ -21,11 +23,6 @@
 
 void slot_table::applyToSlot(const slot_record& record, slot_state& slot, slot_term term, instant now)
 {
-    if (record.change == slot_change::restate) {
-        if (term > slot.term)
-            slot = { term, record.by, std::nullopt, now };
-        return;
-    }
     if (slot.term != term)
         return;
     if (record.change == slot_change::claim)
@@ -34,6 +31,24 @@
         release(slot, record.by, now);
 }
 
+void slot_table::adopt(const slot_restatement& restated, instant now)
+{
+    if (restated.slot >= slotCount || restated.term <= m_slots[restated.slot].term)
+        return;
+    m_slots[restated.slot] = { restated.term, restated.holder, restated.claimant, now };
+}
+
+std::vector<slot_restatement> slot_table::restate() const
+{
+    std::vector<slot_restatement> states;
+    for (slot_index slot = 0; slot < slotCount; ++slot) {
+        const auto& state = m_slots[slot];
+        if (state.term > 0)
+            states.push_back({ slot, state.term, state.holder, state.claimant });
+    }
+    return states;
+}
+
 void slot_table::claim(slot_state& slot, const node_life& by, instant now)
 {
     if (slot.holder == by || slot.claimant == by)
--- a/packages/decisions/src/slot_table.h
+++ b/packages/decisions/src/slot_table.h
@@ -21,7 +21,15 @@
     claim, ///< A node asks to hold the slot next.
     release, ///< A holder's right has ended: it gave it up, or its time without news has passed.
     join, ///< A node has bound its port, so the processes of its earlier lives have ended.
-    restate, ///< Repeats a holder and its term before the log expires the record that made them.
+    restate, ///< Repeats states before the log expires the records that made them.
+};
+
+/** The whole state of one slot, told to those who may lack the records that made it. */
+struct slot_restatement {
+    slot_index slot = 0;
+    slot_term term = 0;
+    std::optional<node_life> holder;
+    std::optional<node_life> claimant;
 };
 
 /** One change of some slots, as a record of the fleet stream. */
@@ -30,6 +38,7 @@
     node_life by; ///< The claimant, or the life whose right has ended.
     std::vector<slot_index> slots;
     std::vector<slot_term> terms; ///< For each slot the term that the writer saw.
+    std::vector<slot_restatement> restated {}; ///< In place of slots and terms for slot_change::restate.
 };
 
 /** Who holds a slot and who waits for it. */
@@ -49,6 +58,13 @@
     /** Applies one record. Records that name another term than the present one are void. */
     void apply(const slot_record& record, instant now);
 
+    /** Takes over the state of one slot where it is newer. */
+    void adopt(const slot_restatement& restated, instant now);
+
+    /** The state of each slot that any record has changed, also of those that nobody holds: a node that
+     * lacked their term would take them for new and its own claims for valid. */
+    std::vector<slot_restatement> restate() const;
+
     const slot_state& at(slot_index slot) const { return m_slots.at(slot); }
 
 private:
--- a/packages/messages/src/node_messages.cpp
+++ b/packages/messages/src/node_messages.cpp
@@ -1,7 +1,7 @@
 #include "node_messages.h"
 
 #include "configuration_codec.h"
-#include "slot_table.h"
+#include "slot_codec.h"
 
 namespace pomelohub {
 
@@ -155,14 +155,12 @@
         return stored;
     }
 
-    json toArray(const slot_record& record)
+    slot_restatement readRestatement(const json& value)
     {
-        return json::array({ toArray(record.by), record.slots, record.terms });
-    }
-
-    slot_record readRestatement(const json& value)
-    {
-        return { slot_change::restate, readLife(value.at(0)), value.at(1), value.at(2) };
+        auto state = restatementFromJson(value);
+        if (!state)
+            throw invalid_message("the state of a slot is not valid");
+        return *state;
     }
 
 } // namespace
@@ -256,8 +254,8 @@
     for (const auto& stored : state.configuration.resources)
         resources.push_back(toArray(*stored));
     auto slots = json::array();
-    for (const auto& record : state.slots)
-        slots.push_back(toArray(record));
+    for (const auto& each : state.slots)
+        slots.push_back(toJson(each));
     return pack(json::array({ state.configuration.nextOffset, std::move(resources), state.fleetNext,
         std::move(slots), toArray(state.members) }));
 }
--- a/packages/messages/src/node_messages.h
+++ b/packages/messages/src/node_messages.h
@@ -35,7 +35,7 @@
 struct start_state {
     configuration_snapshot configuration;
     std::uint64_t fleetNext = 0;
-    std::vector<slot_record> slots; ///< One restatement for each holder.
+    std::vector<slot_restatement> slots;
     std::vector<member_record> members;
 };
 
--- a/packages/messages/src/slot_codec.cpp
+++ b/packages/messages/src/slot_codec.cpp
@@ -6,6 +6,34 @@
 
 static constexpr std::array<std::string_view, 4> changeTexts { "claim", "release", "join", "restate" };
 
+static json toJson(const std::optional<node_life>& life)
+{
+    return life ? json::array({ life->node.text(), life->life }) : json();
+}
+
+json toJson(const slot_restatement& state)
+{
+    return json::array({ state.slot, state.term, toJson(state.holder), toJson(state.claimant) });
+}
+
+static std::optional<node_life> lifeFromJson(const json& value)
+{
+    if (value.is_null())
+        return std::nullopt;
+    return node_life { node_id(value.at(0)), value.at(1) };
+}
+
+std::optional<slot_restatement> restatementFromJson(const json& value)
+{
+    try {
+        slot_restatement state { value.at(0), value.at(1), lifeFromJson(value.at(2)),
+            lifeFromJson(value.at(3)) };
+        return value.size() == 4 && state.slot < slotCount ? std::optional(std::move(state)) : std::nullopt;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encodeFleetRecord(const fleet_record& record)
 {
     const auto& slots = record.slots;
@@ -15,12 +43,26 @@
     auto pairs = json::array();
     for (std::size_t i = 0; i < slots.slots.size(); ++i)
         pairs.push_back({ slots.slots[i], slots.terms[i] });
+    for (const auto& state : slots.restated)
+        pairs.push_back(toJson(state));
     value["slots"] = std::move(pairs);
     return value.dump();
 }
 
+static void readRestatements(checked_document& document, const json& states, slot_record& slots)
+{
+    for (const auto& each : states) {
+        if (auto state = restatementFromJson(each))
+            slots.restated.push_back(std::move(*state));
+        else
+            return document.fail("/slots", "must hold a slot, a term, a holder and a claimant each");
+    }
+}
+
 static void readSlots(checked_document& document, const json& pairs, slot_record& slots)
 {
+    if (slots.change == slot_change::restate)
+        return readRestatements(document, pairs, slots);
     for (const auto& pair : pairs) {
         bool isPair = pair.is_array() && pair.size() == 2 && pair[0].is_number_unsigned()
             && pair[1].is_number_unsigned();
--- a/packages/messages/src/slot_codec.h
+++ b/packages/messages/src/slot_codec.h
@@ -16,6 +16,12 @@
     std::string endpoint;
 };
 
+/** The array form of \p state, in records and in messages between nodes. */
+nlohmann::json toJson(const slot_restatement& state);
+
+/** \return nothing when \p value is not such an array. */
+std::optional<slot_restatement> restatementFromJson(const nlohmann::json& value);
+
 std::string encodeFleetRecord(const fleet_record& record);
 
 /** \return nothing and the faults in \p errors when corrupt. */
--- a/packages/node/src/control_plane.cpp
+++ b/packages/node/src/control_plane.cpp
@@ -62,7 +62,6 @@
 {
     withState([self = handle<control_plane>(this)](control_state& state, const present& now) {
         state.join(self->m_parts.settings.seeds, now);
-        self->append({ state.joinRecord() }, [] {});
         self->m_parts.gossip->start([self](const gossip_message& message) {
             auto& parts = self->m_parts;
             for (const auto& answer : parts.state.takeGossip(message, parts.clock()))
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -12,6 +12,7 @@
     constexpr duration judgementInterval = milliseconds(250);
     constexpr duration reportInterval = std::chrono::seconds(15);
     constexpr duration slotInterval = milliseconds(500);
+    constexpr duration joinInterval = std::chrono::seconds(2);
     constexpr duration trimInterval = std::chrono::seconds(30);
     constexpr duration catchUpDelay = milliseconds(300);
     /** How long views may differ before a node takes another's records. */
@@ -227,6 +228,8 @@
             continue;
         }
         hasChanges = true;
+        m_hasJoined
+            = m_hasJoined || (decoded->slots.change == slot_change::join && decoded->slots.by == m_self);
         m_slots.apply(decoded->slots, now.monotonic);
         if (decoded->slots.change == slot_change::join && !decoded->endpoint.empty()) {
             member_record member;
@@ -260,11 +263,7 @@
     start_state state;
     state.configuration = m_configuration.snapshot();
     state.fleetNext = m_next[indexOf(log_stream::fleet)];
-    for (slot_index slot = 0; slot < slotCount; ++slot) {
-        const auto& known = m_slots.table().at(slot);
-        if (known.holder)
-            state.slots.push_back({ slot_change::restate, *known.holder, { slot }, { known.term } });
-    }
+    state.slots = m_slots.table().restate();
     state.members = memberRecords();
     return state;
 }
@@ -282,8 +281,8 @@
     m_configuration.load(state.configuration);
     auto& fleetNext = m_next[indexOf(log_stream::fleet)];
     if (state.fleetNext > fleetNext) {
-        for (const auto& record : state.slots)
-            m_slots.apply(record, now.monotonic);
+        for (const auto& restated : state.slots)
+            m_slots.adopt(restated, now.monotonic);
         fleetNext = state.fleetNext;
     }
     m_members.merge(state.members, now.monotonic);
@@ -415,11 +414,13 @@
     publishMembers();
 }
 
-append_request control_state::joinRecord() const
+void control_state::announceJoin(control_outputs& out, instant now)
 {
-    fleet_record record { { slot_change::join, m_self, {}, {} }, m_settings.dataCentre,
-        m_settings.peersEndpoint };
-    return { log_stream::fleet, encodeFleetRecord(record) };
+    // Until it is in the log, rights of this node's former life stay unusable for the stale limit.
+    if (m_hasJoined || m_isLeaving || now < m_nextJoin)
+        return;
+    m_nextJoin = now + joinInterval;
+    appendSlotRecords(out, { { slot_change::join, m_self, {}, {} } });
 }
 
 void control_state::updateSlotMembers()
@@ -440,6 +441,7 @@
 control_outputs control_state::tick(const present& now)
 {
     control_outputs out;
+    announceJoin(out, now.monotonic);
     out.datagrams = m_members.tick(cursors(now.monotonic), now.monotonic);
     addNotices(out.datagrams, now.monotonic);
     if (now.monotonic >= m_nextSlotTick) {
--- a/packages/node/src/control_state.h
+++ b/packages/node/src/control_state.h
@@ -84,7 +84,6 @@
     void takeMembers(const std::vector<member_record>& members, const present& now);
     std::vector<outgoing_gossip> takeGossip(const gossip_message& message, const present& now);
     void join(const std::vector<peer_address>& seeds, const present& now);
-    append_request joinRecord() const;
 
     // Time.
     control_outputs tick(const present& now);
@@ -131,6 +130,7 @@
     log_cursors cursors(instant now) const;
     void updateSlotMembers();
     void appendSlotRecords(control_outputs& out, std::vector<slot_record> records) const;
+    void announceJoin(control_outputs& out, instant now);
     void report(std::vector<outgoing_gossip>& datagrams, const present& now);
     void confirm(std::vector<outgoing_gossip>& datagrams, const present& now);
     void announceInForce(std::vector<outgoing_gossip>& datagrams, const present& now);
@@ -171,10 +171,12 @@
     instant m_nextMemberSync {};
     instant m_syncsPaidUntil {};
     bool m_hasMembers = false;
+    bool m_hasJoined = false; ///< This life's join was read back from the log.
     instant m_nextJudgement {};
     instant m_nextReport {};
     instant m_nextSlotTick {};
     instant m_nextRestatement {};
+    instant m_nextJoin {};
     instant m_nextTrim {};
     instant m_nextWindow {};
     std::set<data_centre_id> m_dataCentres; ///< Of live members.
--- a/test/correctness/bad_input.cpp
+++ b/test/correctness/bad_input.cpp
@@ -59,6 +59,15 @@
         { "", "{}", "[1]", "\xff\xfe", R"({"id":"a","kind":"service","name":"x","replaces":-1})",
             R"({"id":"a","kind":"service","name":"x","replaces":0,"content":{"name":"y"}})" })
         CHECK_FALSE(decodeRecord(text, errors));
+    fleet_record restated { {}, data_centre_id("dc"), "127.0.0.1:1" };
+    restated.slots = { slot_change::restate, { node_id("a"), 1 }, {}, {},
+        { { 5, 7, node_life { node_id("a"), 1 }, node_life { node_id("b"), 2 } }, { 6, 8, {}, {} } } };
+    auto decoded = decodeFleetRecord(encodeFleetRecord(restated), errors);
+    REQUIRE(decoded);
+    REQUIRE(decoded->slots.restated.size() == 2U);
+    CHECK(decoded->slots.restated[0].claimant == node_life { node_id("b"), 2 });
+    CHECK_FALSE(decoded->slots.restated[1].holder);
+    CHECK_FALSE(decodeFleetRecord(R"({"change":"restate","node":"a","life":1,"slots":[[5,1,"a"]]})", errors));
     for (const auto* text : { "", "{}", R"({"change":"claim","node":"a","life":1,"slots":[[999,1]]})" })
         CHECK_FALSE(decodeFleetRecord(text, errors));
 }
--- a/test/correctness/late_news.cpp
+++ b/test/correctness/late_news.cpp
@@ -55,6 +55,25 @@
     CHECK(node.state->evidenceAge(node.now.monotonic) >= hours(7));
 }
 
+TEST_CASE("a node says that it joined until it reads that back from the log")
+{
+    control_fixture node;
+    auto joins = [&] {
+        node.pass(std::chrono::seconds(3));
+        std::vector<std::string> found;
+        for (const auto& request : node.state->tick(node.now).appends) {
+            if (request.data.find("\"join\"") != std::string::npos)
+                found.push_back(request.data);
+        }
+        return found;
+    };
+    CHECK(joins().size() == 1U);
+    auto lost = joins();
+    REQUIRE(lost.size() == 1U);
+    node.state->takePage(log_stream::fleet, { 0, 1, { { 0, lost[0] } } }, node.now.monotonic, node.now);
+    CHECK(joins().empty());
+}
+
 TEST_CASE("the answer to a probe proves what its sender knew when the probe was sent")
 {
     control_fixture node;
--- a/test/correctness/slot_handover.cpp
+++ b/test/correctness/slot_handover.cpp
@@ -111,6 +111,41 @@
     CHECK(fleet.held(fleet.b) == slotCount);
 }
 
+TEST_CASE("a node that learns slots from a restatement knows who waits, and agrees on the next holder")
+{
+    const instant now { std::chrono::hours(10) };
+    slot_table known;
+    known.apply({ slot_change::claim, { node_id("a"), 1 }, { 5 }, { 0 } }, now);
+    known.apply({ slot_change::claim, { node_id("b"), 1 }, { 5 }, { 1 } }, now);
+    REQUIRE(known.at(5).claimant == node_life { node_id("b"), 1 });
+    slot_table late;
+    for (const auto& state : known.restate())
+        late.adopt(state, now);
+    CHECK(late.at(5).claimant == known.at(5).claimant);
+    slot_record release { slot_change::release, { node_id("a"), 1 }, { 5 }, { 2 } };
+    known.apply(release, now);
+    late.apply(release, now);
+    // Without the claimant the late node would see a free slot, claim it for itself and use it besides b.
+    CHECK(known.at(5).holder == node_life { node_id("b"), 1 });
+    CHECK(late.at(5).holder == known.at(5).holder);
+    CHECK(late.at(5).term == known.at(5).term);
+}
+
+TEST_CASE("a node that learns slots from a peer knows the term of one that nobody holds")
+{
+    const instant now { std::chrono::hours(10) };
+    slot_table known;
+    known.apply({ slot_change::claim, { node_id("a"), 1 }, { 5 }, { 0 } }, now);
+    known.apply({ slot_change::release, { node_id("a"), 1 }, { 5 }, { 1 } }, now);
+    slot_table late;
+    for (const auto& state : known.restate())
+        late.adopt(state, now);
+    slot_record stale { slot_change::claim, { node_id("late"), 1 }, { 5 }, { 0 } };
+    late.apply(stale, now);
+    CHECK_FALSE(late.at(5).holder);
+    CHECK(late.at(5).term == known.at(5).term);
+}
+
 TEST_CASE("a claim that names an old term is void")
 {
     slot_table table;
