--- a/packages/decisions/src/backend_chooser.cpp
+++ b/packages/decisions/src/backend_chooser.cpp
@@ -17,9 +17,8 @@
     bool isUsable(const backend_entry& entry, std::span<const backend_server_id> tried,
         const chooser_policy& policy, instant now)
     {
-        if (entry.stats->takesNoWorkUntil.load() > now)
-            return false;
-        if (entry.condition == backend_condition::draining || entry.stats->ejected.load())
+        auto usableFrom = std::max(entry.stats->takesNoWorkUntil.load(), entry.stats->ejectedUntil.load());
+        if (entry.condition == backend_condition::draining || usableFrom > now)
             return false;
         return !isTried(entry.id, tried) && policy.dataCentreWeight(entry.dataCentre) > 0;
     }
--- a/packages/decisions/src/fair_queue.h
+++ b/packages/decisions/src/fair_queue.h
@@ -16,6 +16,7 @@
 struct queued_request : counted<queued_request>, boost::intrusive::list_base_hook<> {
     organisation_id organisation; ///< Empty for requests on routes open to all.
     instant deadline {};
+    std::uint32_t rank = 0; ///< Set by the queue that orders by rank.
 
     virtual ~queued_request() = default;
 };
--- a/packages/decisions/src/fleet_view.h
+++ b/packages/decisions/src/fleet_view.h
@@ -31,7 +31,7 @@
     std::atomic<std::uint64_t> failures { 0 };
     std::atomic<std::uint64_t> latencySum { 0 }; ///< In microseconds over all answers.
     std::atomic<std::uint32_t> weight { fullWeight }; ///< Share of the usual traffic, in thousandths.
-    std::atomic<bool> ejected { false };
+    std::atomic<instant> ejectedUntil { instant {} }; ///< End of the permit, looked at when it is used.
     /** The node beside it said that it takes no work; news of that may still be on the way. */
     std::atomic<instant> takesNoWorkUntil { instant {} };
 
--- a/packages/decisions/src/token_leases.cpp
+++ b/packages/decisions/src/token_leases.cpp
@@ -49,25 +49,6 @@
     return spendable(m_word.load(std::memory_order_relaxed), now);
 }
 
-std::uint64_t arrival_count::value() const
-{
-    std::lock_guard lock(m_mutex);
-    return m_value;
-}
-
-void arrival_count::note()
-{
-    std::lock_guard lock(m_mutex);
-    ++m_value;
-    m_changed.notify_all();
-}
-
-bool arrival_count::waitBeyond(std::uint64_t seen, instant deadline) const
-{
-    std::unique_lock lock(m_mutex);
-    return m_changed.wait_until(lock, deadline, [&] { return m_value != seen; });
-}
-
 handle<organisation_leases> token_leases::of(const organisation_id& organisation)
 {
     auto& cell = m_shards[std::hash<organisation_id> {}(organisation) % shardCount];
--- a/packages/decisions/src/token_leases.h
+++ b/packages/decisions/src/token_leases.h
@@ -4,10 +4,9 @@
  */
 #pragma once
 
+#include "arrival_count.h"
 #include "rate_ledger.h"
 
-#include <condition_variable>
-#include <mutex>
 #include <optional>
 
 namespace pomelohub {
@@ -29,21 +28,6 @@
     std::atomic<std::uint64_t> m_word { 0 };
 };
 
-/** Counts events and lets a thread wait for the next one. Thread safety: any thread. */
-class arrival_count {
-public:
-    std::uint64_t value() const;
-    void note();
-
-    /** Waits until the count differs from \p seen. \return false when \p deadline passed first. */
-    bool waitBeyond(std::uint64_t seen, instant deadline) const;
-
-private:
-    mutable std::mutex m_mutex;
-    mutable std::condition_variable m_changed;
-    std::uint64_t m_value = 0;
-};
-
 /** All leases of one organisation at this node, and its recent demand. */
 struct organisation_leases : counted<organisation_leases> {
     organisation_id organisation;
--- a/packages/messages/src/exchange.cpp
+++ b/packages/messages/src/exchange.cpp
@@ -1,21 +1,7 @@
 #include "exchange.h"
 
-#include <algorithm>
-
 namespace pomelohub {
 
-std::optional<std::string> headerValue(const std::vector<header_field>& headers, std::string_view name)
-{
-    auto found = std::find_if(
-        headers.begin(), headers.end(), [&](const header_field& field) { return field.first == name; });
-    return found == headers.end() ? std::nullopt : std::optional(found->second);
-}
-
-void removeHeader(std::vector<header_field>& headers, std::string_view name)
-{
-    std::erase_if(headers, [&](const header_field& field) { return field.first == name; });
-}
-
 exchange::exchange(request_head request, instant deadline)
     : m_request(std::move(request))
     , m_deadline(deadline)
@@ -39,19 +25,20 @@
     return made;
 }
 
-void exchange::settle(result<response_head> response)
+bool exchange::settle(result<response_head> response)
 {
     std::function<void()> hook;
     {
         std::lock_guard lock(m_mutex);
         if (m_response)
-            return;
+            return m_response->has_value();
         m_response = std::move(response);
         hook.swap(m_responseHook);
         m_changed.notify_all();
     }
     if (hook)
         hook();
+    return false;
 }
 
 void exchange::respond(response_head head) { settle(std::move(head)); }
@@ -59,11 +46,8 @@
 void exchange::refuse(verdict why)
 {
     // A body that is on its way is cut. Without a head there is none, and a retry may still fill it.
-    auto present = response();
-    if (present && *present)
-        m_responseBody->fail(why);
-    else
-        settle(tl::unexpected(std::move(why)));
+    if (settle(tl::unexpected(why)))
+        m_responseBody->fail(std::move(why));
 }
 
 result<response_head> exchange::awaitResponse()
--- a/packages/messages/src/exchange.h
+++ b/packages/messages/src/exchange.h
@@ -5,15 +5,10 @@
 #pragma once
 
 #include "body_pipe.h"
-
-#include <utility>
-#include <vector>
+#include "http_headers.h"
 
 namespace pomelohub {
 
-/** A header field with its name in lower case. */
-using header_field = std::pair<std::string, std::string>;
-
 struct request_head {
     std::string method;
     std::string path;
@@ -25,12 +20,6 @@
     std::vector<header_field> headers;
 };
 
-/** The value of the first field called \p name, or nothing. */
-std::optional<std::string> headerValue(const std::vector<header_field>& headers, std::string_view name);
-
-/** Removes every field called \p name. */
-void removeHeader(std::vector<header_field>& headers, std::string_view name);
-
 /** Thread safety: the asking side and the answering side may be on different threads. */
 class exchange : public counted<exchange> {
 public:
@@ -72,7 +61,8 @@
     void setCancelHook(std::function<void()> hook);
 
 private:
-    void settle(result<response_head> response);
+    /** \return whether a head was there before. */
+    bool settle(result<response_head> response);
 
     request_head m_request;
     instant m_deadline;
--- a/packages/messages/src/peer_client.h
+++ b/packages/messages/src/peer_client.h
@@ -4,18 +4,13 @@
  */
 #pragma once
 
+#include "member_sync.h"
 #include "peer_session.h"
 
 #include <deque>
 
 namespace pomelohub {
 
-/** Where and who a node is. */
-struct peer_address {
-    node_id node;
-    std::string endpoint; ///< "address:port".
-};
-
 /** Splits "address:port". \return nothing when \p text is not such. */
 std::optional<std::pair<std::string, std::uint16_t>> splitEndpoint(const std::string& text);
 
--- a/packages/messages/src/peer_session.cpp
+++ b/packages/messages/src/peer_session.cpp
@@ -393,12 +393,12 @@
     m_stream.async_read_some(asio::buffer(m_input),
         [self = handle<peer_session>(this)](const asio::error_code& error, std::size_t bytes) {
             if (error || self->m_isClosed)
-                return self->close(error.message());
+                return self->close();
             self->m_lastReceived = self->m_clock().monotonic;
             auto taken = nghttp2_session_mem_recv(
                 self->m_session, reinterpret_cast<const std::uint8_t*>(self->m_input.data()), bytes);
             if (taken < 0)
-                return self->close(nghttp2_strerror(static_cast<int>(taken)));
+                return self->close();
             self->flush();
             self->read();
         });
@@ -413,7 +413,7 @@
         const std::uint8_t* data = nullptr;
         auto bytes = nghttp2_session_mem_send(m_session, &data);
         if (bytes < 0)
-            return close(nghttp2_strerror(static_cast<int>(bytes)));
+            return close();
         if (bytes == 0)
             break;
         m_output.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(bytes));
@@ -422,7 +422,7 @@
         return write();
     bool isDone = !nghttp2_session_want_read(m_session) && !nghttp2_session_want_write(m_session);
     if (isDone || (m_closing && m_streams.empty()))
-        close("the connection was shut down");
+        close();
 }
 
 void peer_session::write()
@@ -433,7 +433,7 @@
         [self = handle<peer_session>(this)](const asio::error_code& error, std::size_t) {
             self->m_isWriting = false;
             if (error)
-                return self->close(error.message());
+                return self->close();
             self->flush();
         });
 }
@@ -454,10 +454,10 @@
 {
     bool isPinging = m_pingSentAt != instant {};
     if (isPinging && now - m_pingSentAt > m_limits.pingTimeout)
-        return close("the peer is silent");
+        return close();
     if (m_streams.empty()) {
         if (m_role == session_role::client && now - m_lastActive > m_limits.idleBeforeClose)
-            close("the connection was idle");
+            close();
         return;
     }
     if (isPinging || now - m_lastReceived < m_limits.silenceBeforePing)
@@ -477,7 +477,7 @@
     });
 }
 
-void peer_session::close(const std::string&)
+void peer_session::close()
 {
     if (m_isClosed)
         return;
--- a/packages/messages/src/peer_session.h
+++ b/packages/messages/src/peer_session.h
@@ -15,8 +15,6 @@
 
 using tls_stream = asio::ssl::stream<asio::ip::tcp::socket>;
 
-/** Header fields with this prefix are between nodes only; front ends drop them from what callers send. */
-inline constexpr std::string_view internalPrefix = "pomelohub-";
 inline constexpr std::string_view verdictHeader = "pomelohub-verdict";
 inline constexpr std::string_view reasonHeader = "pomelohub-reason";
 inline constexpr std::string_view detailHeader = "pomelohub-detail";
@@ -104,7 +102,7 @@
     void write();
     void watch();
     void checkSilence(instant now);
-    void close(const std::string& why);
+    void close();
     void onStrand(std::function<void(peer_session&)> action);
 
     tls_stream m_stream;
--- a/packages/node/src/action_authority.h
+++ b/packages/node/src/action_authority.h
@@ -9,11 +9,6 @@
 
 namespace pomelohub {
 
-/** Header that carries the caller's idempotency key to the authority. */
-inline constexpr std::string_view actionHeader = "pomelohub-action";
-/** Header on an answer that was kept from an earlier run. */
-inline constexpr std::string_view replayedHeader = "idempotent-replayed";
-
 /** Thread safety: any thread. Never blocks. */
 class action_authority : public counted<action_authority> {
 public:
--- a/packages/node/src/admin_listener.cpp
+++ b/packages/node/src/admin_listener.cpp
@@ -93,7 +93,7 @@
             { "slots", describeSlots(state) }, { "members", members } };
     }
 
-    json describeBackends(const control_state& state)
+    json describeBackends(const control_state& state, const present& now)
     {
         auto backends = json::array();
         auto fleet = state.fleet().load();
@@ -104,7 +104,8 @@
                 backends.push_back({ { "id", entry.id.text() }, { "service", service.text() },
                     { "node", entry.node.text() }, { "data_centre", entry.dataCentre.text() },
                     { "condition", toText(entry.condition) }, { "slots", entry.slots },
-                    { "weight", entry.stats->weight.load() }, { "ejected", entry.stats->ejected.load() },
+                    { "weight", entry.stats->weight.load() },
+                    { "ejected", entry.stats->ejectedUntil.load() > now.monotonic },
                     { "answers", entry.stats->answers.load() }, { "failures", entry.stats->failures.load() },
                     { "in_flight", entry.stats->inFlight.load() } });
         }
@@ -206,7 +207,8 @@
 
 void admin_listener::giveBackends(httplib::Response& response)
 {
-    give(response, fromState([](control_state& state, const present&) { return describeBackends(state); }));
+    give(response,
+        fromState([](control_state& state, const present& now) { return describeBackends(state, now); }));
 }
 
 void admin_listener::giveResources(const httplib::Request& request, httplib::Response& response)
--- a/packages/node/src/backend_call.cpp
+++ b/packages/node/src/backend_call.cpp
@@ -11,20 +11,6 @@
     constexpr std::chrono::milliseconds connectTimeout { 1000 };
     constexpr std::size_t bodyChunk = 32 * 1024;
 
-    bool isHopByHop(const std::string& name)
-    {
-        static constexpr std::array<std::string_view, 7> names { "connection", "keep-alive", "te", "trailer",
-            "transfer-encoding", "upgrade", "proxy-connection" };
-        return std::find(names.begin(), names.end(), name) != names.end();
-    }
-
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(),
-            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        return text;
-    }
-
     /** One call with what its callbacks share. */
     class call_in_progress {
     public:
@@ -67,7 +53,7 @@
             response_head head;
             head.status = response.status;
             for (const auto& [name, value] : response.headers) {
-                auto lower = lowerCase(name);
+                auto lower = toLowerCase(name);
                 if (!isHopByHop(lower) && !lower.starts_with(internalPrefix))
                     head.headers.emplace_back(lower, value);
             }
@@ -114,7 +100,7 @@
                 request.content_provider_ = [this](std::size_t offset, std::size_t, httplib::DataSink& sink) {
                     return giveBody(offset, sink);
                 };
-            } else if (headerValue(headers, std::string(internalPrefix) + "body") == "chunked") {
+            } else if (headerValue(headers, bodyHeader) == "chunked") {
                 request.is_chunked_content_provider_ = true;
                 request.content_provider_ = [this](std::size_t offset, std::size_t, httplib::DataSink& sink) {
                     return giveBody(offset, sink);
--- a/packages/node/src/backend_host.cpp
+++ b/packages/node/src/backend_host.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-    constexpr std::string_view organisationHeader = "pomelohub-organisation";
-    constexpr std::string_view requestIdHeader = "x-request-id";
-
     std::string subjectOf(const exchange& carried)
     {
         return headerValue(carried.request().headers, requestIdHeader).value_or("-");
@@ -47,22 +44,27 @@
     m_hooks.decided({ now.wall, hosted->info.id.text(), "announce",
         std::string(toText(hosted->info.condition)), "limit " + std::to_string(hosted->gate.limit()) });
     if (hosted->info.condition == backend_condition::draining)
-        refuseWaiting(*hosted);
+        refuseAllWaiting(*hosted);
     publish();
 }
 
-void backend_host::refuseWaiting(hosted_backend& backend)
+void backend_host::refuseWaiting(const queued_request& waiting, verdict why)
 {
-    auto refuseOne = [this](const handle<queued_request>& item) {
-        --m_busy;
-        auto carried = static_cast<waiting_exchange&>(*item).carried;
-        carried->setCancelHook(nullptr);
-        refuse(carried,
+    --m_busy;
+    // The hook holds the item, which holds the exchange.
+    auto carried = static_cast<const waiting_exchange&>(waiting).carried;
+    carried->setCancelHook(nullptr);
+    refuse(carried, std::move(why));
+}
+
+void backend_host::refuseAllWaiting(hosted_backend& backend)
+{
+    // No deadline lies after the end of time, so every request counts as expired.
+    backend.queue.pop(instant::max(), [this](const handle<queued_request>& waiting) {
+        refuseWaiting(*waiting,
             { execution::notRun, refusal_reason::backendServerDraining, "the backend server is draining",
                 {} });
-    };
-    // No deadline lies after the end of time, so every request counts as expired.
-    backend.queue.pop(instant::max(), refuseOne);
+    });
     updateLoad(backend);
 }
 
@@ -136,28 +138,21 @@
     ++m_busy;
     carried->setCancelHook([self = handle<backend_host>(this), item] {
         asio::post(self->m_strand, [self, item] {
-            if (!item->backend->queue.remove(*item))
-                return;
-            --self->m_busy;
-            item->carried->refuse({ execution::notRun, refusal_reason::cancelled, "the caller gave up", {} });
+            if (item->backend->queue.remove(*item))
+                self->refuseWaiting(
+                    *item, { execution::notRun, refusal_reason::cancelled, "the caller gave up", {} });
         });
     });
-    auto crowdedOut = backend->queue.push(item);
-    if (!crowdedOut)
-        return;
-    --m_busy;
-    auto& other = static_cast<waiting_exchange&>(*crowdedOut);
-    other.carried->setCancelHook(nullptr);
-    refuse(other.carried,
-        { execution::notRun, refusal_reason::backendServerBusy, "the queue is full",
-            std::chrono::milliseconds(1000) });
+    if (auto crowdedOut = backend->queue.push(item))
+        refuseWaiting(*crowdedOut,
+            { execution::notRun, refusal_reason::backendServerBusy, "the queue is full",
+                std::chrono::milliseconds(1000) });
 }
 
 void backend_host::pump(const handle<hosted_backend>& backend)
 {
-    auto expired = [this](const handle<queued_request>& item) {
-        --m_busy;
-        refuse(static_cast<waiting_exchange&>(*item).carried,
+    auto expired = [this](const handle<queued_request>& waiting) {
+        refuseWaiting(*waiting,
             { execution::notRun, refusal_reason::deadlineExceeded, "the deadline passed in the queue", {} });
     };
     while (backend->gate.tryAcquire()) {
@@ -167,13 +162,12 @@
             break;
         }
         auto carried = static_cast<waiting_exchange&>(*next).carried;
-        carried->setCancelHook(nullptr);
         if (carried->isCancelled()) {
-            --m_busy;
             backend->gate.releaseUnused();
-            carried->refuse({ execution::notRun, refusal_reason::cancelled, "the caller gave up", {} });
+            refuseWaiting(*next, { execution::notRun, refusal_reason::cancelled, "the caller gave up", {} });
             continue;
         }
+        carried->setCancelHook(nullptr);
         run(backend, carried);
     }
     updateLoad(*backend);
--- a/packages/node/src/backend_host.h
+++ b/packages/node/src/backend_host.h
@@ -87,7 +87,8 @@
     void admit(const handle<exchange>& carried, const backend_server_id& id);
     void enqueue(const handle<hosted_backend>& backend, const handle<exchange>& carried,
         const admission_context& context);
-    void refuseWaiting(hosted_backend& backend);
+    void refuseWaiting(const queued_request& waiting, verdict why);
+    void refuseAllWaiting(hosted_backend& backend);
     void pump(const handle<hosted_backend>& backend);
     void run(const handle<hosted_backend>& backend, const handle<exchange>& carried);
     void ended(const handle<hosted_backend>& backend, const handle<backend_connection>& connection,
--- a/packages/node/src/backend_judge.cpp
+++ b/packages/node/src/backend_judge.cpp
@@ -15,7 +15,7 @@
 
 std::vector<ejection_request> backend_judge::tick(const present& now)
 {
-    returnLapsed(now);
+    noteReturned(now);
     std::vector<ejection_request> requests;
     m_registry.forEachActive([&](const service_id& service, const service_view& view) {
         auto suspects = m_detector.tick(view);
@@ -31,14 +31,15 @@
     return requests;
 }
 
-void backend_judge::returnLapsed(const present& now)
+void backend_judge::noteReturned(const present& now)
 {
-    for (const auto& [backend, until] : m_ejectedUntil) {
+    std::erase_if(m_ejected, [&](const backend_server_id& backend) {
         const auto* entry = m_registry.find(backend);
-        if (entry && until <= now.monotonic && entry->stats->ejected.exchange(false))
-            m_decided({ now.wall, backend.text(), "ejection", "returned", "the permit lapsed" });
-    }
-    std::erase_if(m_ejectedUntil, [&](const auto& entry) { return entry.second <= now.monotonic; });
+        if (entry && entry->stats->ejectedUntil.load() > now.monotonic)
+            return false;
+        m_decided({ now.wall, backend.text(), "ejection", "returned", "the permit lapsed" });
+        return true;
+    });
 }
 
 void backend_judge::takePermit(const ejection_permit& permit, instant asked, const present& now)
@@ -47,8 +48,8 @@
         const auto* entry = m_registry.find(backend);
         if (!entry)
             continue;
-        m_ejectedUntil[backend] = asked + permit.lifetime;
-        if (!entry->stats->ejected.exchange(true))
+        entry->stats->ejectedUntil = asked + permit.lifetime;
+        if (m_ejected.insert(backend).second)
             m_decided({ now.wall, backend.text(), "ejection", "ejected", "permit of the authority" });
     }
 }
--- a/packages/node/src/backend_judge.h
+++ b/packages/node/src/backend_judge.h
@@ -27,13 +27,13 @@
     void trim();
 
 private:
-    void returnLapsed(const present& now);
+    void noteReturned(const present& now);
 
     node_id m_self;
     gray_detector m_detector;
     backend_registry& m_registry;
     decision_hook m_decided;
-    std::map<backend_server_id, instant> m_ejectedUntil;
+    std::set<backend_server_id> m_ejected; ///< For the log; requests look at the permit's end themselves.
     std::map<service_id, instant> m_nextAsk;
 };
 
--- a/packages/node/src/caller_front.cpp
+++ b/packages/node/src/caller_front.cpp
@@ -15,13 +15,6 @@
     constexpr auto timeoutHeader = "X-Timeout-Ms";
     constexpr auto requestIdName = "X-Request-Id";
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(),
-            [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        return text;
-    }
-
     bool isUsableId(const std::string& text)
     {
         return !text.empty() && text.size() <= maxRequestIdLength
@@ -38,14 +31,13 @@
         return value.substr(scheme.size());
     }
 
-    /** Fields that end at this node: hop-by-hop ones, the key, and those between nodes. */
+    /** Fields that end at this node: hop-by-hop ones, the key, and those that the node makes itself. */
     bool isLocal(const std::string& name)
     {
-        static constexpr std::array<std::string_view, 14> names { "authorization", "connection", "expect",
-            "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-            "idempotency-key", "x-request-id", "x-timeout-ms", "remote_addr", "remote_port" };
-        return std::find(names.begin(), names.end(), name) != names.end() || name.starts_with(internalPrefix)
-            || name == "local_addr" || name == "local_port";
+        static constexpr std::array<std::string_view, 9> names { "authorization", "expect", "idempotency-key",
+            "x-request-id", "x-timeout-ms", "remote_addr", "remote_port", "local_addr", "local_port" };
+        return std::find(names.begin(), names.end(), name) != names.end() || isHopByHop(name)
+            || name.starts_with(internalPrefix);
     }
 
     bool hasBody(const httplib::Request& request)
@@ -94,12 +86,12 @@
         id = "r" + std::to_string(m_parts.random(UINT64_MAX));
     context.id = request_id(id);
     context.method = request.method;
-    auto host = lowerCase(request.get_header_value("Host"));
+    auto host = toLowerCase(request.get_header_value("Host"));
     context.host = host.substr(0, host.rfind(':'));
     context.target = request.target;
     context.path = request.target.substr(0, request.target.find('?'));
     context.key = bearerToken(request);
-    context.idempotencyKey = lowerCase(request.get_header_value("Idempotency-Key"));
+    context.idempotencyKey = toLowerCase(request.get_header_value("Idempotency-Key"));
     if (auto timeout = parseNumber<std::int64_t>(request.get_header_value(timeoutHeader)))
         context.timeout = milliseconds(*timeout);
     context.contentLength = parseNumber<std::uint64_t>(request.get_header_value("Content-Length"));
@@ -141,7 +133,7 @@
 {
     request_head head { request.method, request.target, {} };
     for (const auto& [name, value] : request.headers) {
-        auto lower = lowerCase(name);
+        auto lower = toLowerCase(name);
         if (lower == savedEncodingHeader)
             head.headers.emplace_back("content-encoding", value);
         else if (!isLocal(lower))
@@ -158,7 +150,7 @@
         add("x-organisation", context.caller()->id.text());
     }
     if (request.has_header("Transfer-Encoding"))
-        add(std::string(internalPrefix) + "body", "chunked");
+        add(bodyHeader, "chunked");
     if (context.isKeyed())
         add(actionHeader, context.idempotencyKey);
     return head;
--- a/packages/node/src/caller_listener.cpp
+++ b/packages/node/src/caller_listener.cpp
@@ -1,8 +1,8 @@
 #include "caller_listener.h"
 
+#include "arrival_count.h"
 #include "http_server_options.h"
 #include "peer_client.h"
-#include "token_leases.h"
 
 #include <future>
 
@@ -158,8 +158,7 @@
         stop();
         m_acceptThread.join();
         // A connection that was just accepted has yet to send its first request.
-        arrival_count never;
-        never.waitBeyond(0, m_clock().monotonic + firstRequestTime);
+        waitUntil(m_clock().monotonic + firstRequestTime);
     }
     m_isClosingIdle = true;
     std::promise<void> closed;
--- a/packages/node/src/control_plane.cpp
+++ b/packages/node/src/control_plane.cpp
@@ -185,8 +185,6 @@
             return;
         asked->cancel();
         asked->refuse({ execution::mayHaveRun, refusal_reason::deadlineExceeded, "no answer", {} });
-        asked->responseBody().fail(
-            { execution::mayHaveRun, refusal_reason::deadlineExceeded, "no answer", {} });
     });
     collectAnswer(asked, largeAnswer, [timer, done = std::move(done)](result<std::string> given) {
         timer->cancel();
@@ -244,32 +242,39 @@
     done();
 }
 
+void control_plane::askHolder(slot_index slot, const holder_question& question)
+{
+    const auto& state = m_parts.state;
+    auto holder = state.holderOf(slot);
+    if (holder == state.self().node) {
+        withState(question.own);
+        return;
+    }
+    auto endpoint = holder ? state.endpointOf(*holder) : std::nullopt;
+    if (endpoint)
+        ask({ *holder, *endpoint }, std::string(question.path), question.body, question.timeout,
+            question.done);
+    else
+        question.done(notRun(refusal_reason::authorityUnavailable, "no node holds the slot"));
+}
+
 void control_plane::askForPermit(const ejection_request& request)
 {
-    auto& state = m_parts.state;
     auto asked = m_parts.clock().monotonic;
-    auto holder = state.holderOf(slotOf(ejectionHashOf(request.service)));
-    if (!holder)
-        return;
-    auto take = [self = handle<control_plane>(this), asked](const ejection_permit& permit) {
-        self->withState([permit, asked](control_state& known, const present& now) {
-            known.takePermit(permit, asked, now);
-        });
+    holder_question question { control_path::ejection, encode(request), askTimeout, {}, {} };
+    question.own = [request, asked](control_state& state, const present& now) {
+        if (auto permit = state.permit(request, now.monotonic))
+            state.takePermit(*permit, asked, now);
     };
-    if (*holder == state.self().node) {
-        if (auto permit = state.permit(request, asked))
-            take(*permit);
-        return;
-    }
-    auto endpoint = state.endpointOf(*holder);
-    if (!endpoint)
-        return;
-    ask({ *holder, *endpoint }, std::string(control_path::ejection), encode(request), askTimeout,
-        [take](const result<std::string>& given) {
-            auto permit = given ? decodeEjectionPermit(*given) : std::nullopt;
-            if (permit)
-                take(*permit);
+    question.done = [self = handle<control_plane>(this), asked](const result<std::string>& given) {
+        auto permit = given ? decodeEjectionPermit(*given) : std::nullopt;
+        if (!permit)
+            return;
+        self->withState([permit = *permit, asked](control_state& state, const present& now) {
+            state.takePermit(permit, asked, now);
         });
+    };
+    askHolder(slotOf(ejectionHashOf(request.service)), question);
 }
 
 void control_plane::takeMembersFrom(const peer_address& peer)
--- a/packages/node/src/control_plane.h
+++ b/packages/node/src/control_plane.h
@@ -27,6 +27,15 @@
     gossip_socket::strand strand; ///< Also the gossip socket's.
 };
 
+/** A question to the authority for a slot. */
+struct holder_question {
+    std::string_view path; ///< See control_path.
+    std::string body;
+    duration timeout {};
+    std::function<void(control_state&, const present&)> own; ///< Answers it when this node holds the slot.
+    std::function<void(result<std::string>)> done; ///< Takes another node's answer, or that there is none.
+};
+
 /** Thread safety: any thread. */
 class control_plane : public counted<control_plane> {
 public:
@@ -51,6 +60,9 @@
     void ask(const peer_address& peer, const std::string& path, const std::string& body, duration timeout,
         std::function<void(result<std::string>)> done);
 
+    /** Asks the node that holds \p slot, which may be this one. */
+    void askHolder(slot_index slot, const holder_question& question);
+
     /** Counts changes of what is applied or in force, for callers that wait for one. */
     const arrival_count& changes() const { return m_changes; }
 
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -15,11 +15,6 @@
     constexpr duration joinInterval = std::chrono::seconds(2);
     constexpr duration trimInterval = std::chrono::seconds(30);
     constexpr duration catchUpDelay = milliseconds(300);
-    /** How long views may differ before a node takes another's records. */
-    constexpr duration differingTime = std::chrono::seconds(3);
-    constexpr duration shortestSyncPause = std::chrono::seconds(1);
-    constexpr duration syncPauseForMember = milliseconds(150);
-    constexpr int syncsAtOnce = 3;
     constexpr duration restateRound = std::chrono::hours(4);
     constexpr milliseconds grantLifetime { 1000 };
     constexpr std::size_t keptRecords = 2000;
@@ -53,6 +48,7 @@
     , m_hooks(std::move(hooks))
     , m_members(makeSelf(settings, m_self), membership_policy {}, m_hooks.random,
           [this](const member_record& record) { memberChanged(record); })
+    , m_memberSync(member_sync_policy {})
     , m_slots(m_self, makeSlotPolicy(settings))
     , m_rates(grantLifetime, slot_policy {}.clockRateError, m_self.life)
     , m_actions(ledger_policy {}, [this](slot_index slot, instant now) { return m_slots.mayUse(slot, now); })
@@ -286,7 +282,7 @@
         fleetNext = state.fleetNext;
     }
     m_members.merge(state.members, now.monotonic);
-    m_hasMembers = true;
+    m_memberSync.noteComplete();
     m_lastPeerContact = now.monotonic;
     m_hasConfiguration = true;
     publishSlots(now);
@@ -312,7 +308,7 @@
     auto out = m_members.receive(message, cursors(now.monotonic), now.monotonic);
     if (probedAt) {
         m_lastPeerContact = *probedAt;
-        noteView(message, now.monotonic);
+        m_memberSync.noteAnswer(message, m_members.viewDigest(), now.monotonic);
     }
     m_quarantine.take(message.quarantined, now.monotonic);
     m_inForce = std::max(m_inForce, message.cursors.inForce);
@@ -350,34 +346,12 @@
         backend.text() + " ended while it ran this request");
 }
 
-void control_state::noteView(const gossip_message& answer, instant now)
-{
-    if (answer.viewDigest == m_members.viewDigest()) {
-        m_differing.reset();
-        return;
-    }
-    if (!m_differing)
-        m_differingSince = now;
-    m_differing = peer_address { answer.from.node, answer.fromEndpoint };
-}
-
 void control_state::syncMembers(control_outputs& out, instant now)
 {
-    if (now < m_nextMemberSync || m_members.others().empty())
-        return;
-    bool isOverdue = m_differing && now - m_differingSince >= differingTime;
-    if (m_hasMembers && !isOverdue)
+    if (m_members.others().empty() || !m_memberSync.isDue(m_members.liveCount(), now))
         return;
-    // News that a node missed are not sent again, so it takes all records from one peer. Each exchange is
-    // paid for by a time that grows with the fleet, which bounds the bytes a second; a few may come at once.
-    auto price = syncPauseForMember * static_cast<std::int64_t>(m_members.liveCount());
-    m_syncsPaidUntil = std::max(m_syncsPaidUntil, now) + price;
-    m_nextMemberSync = std::max(now + shortestSyncPause, m_syncsPaidUntil - syncsAtOnce * price);
-    if (m_differing)
-        out.membersFrom = m_differing;
-    else
-        out.membersFrom = anyPeer();
-    m_differing.reset();
+    auto differing = m_memberSync.takeDifferingPeer();
+    out.membersFrom = differing ? differing : anyPeer();
 }
 
 std::optional<peer_address> control_state::anyPeer() const
@@ -395,7 +369,7 @@
 void control_state::takeMembers(const std::vector<member_record>& members, const present& now)
 {
     m_members.merge(members, now.monotonic);
-    m_hasMembers = true;
+    m_memberSync.noteComplete();
     publishMembers();
 }
 
@@ -497,7 +471,7 @@
     publishMembers();
     // The reporters of the other data centres need not wait for gossip to bring it.
     for (const auto& dataCentre : m_dataCentres) {
-        const auto* reporter = confirmation_controller::reporterOf(dataCentre, m_members.all());
+        const auto* reporter = confirmation_controller::reporterOf(dataCentre, members);
         if (reporter && reporter->life != m_self)
             datagrams.push_back(m_members.makeReport(reporter->endpoint, cursors(now.monotonic), true));
     }
--- a/packages/node/src/control_state.h
+++ b/packages/node/src/control_state.h
@@ -12,6 +12,7 @@
 #include "data_centre_ramp.h"
 #include "decision_journal.h"
 #include "log_history.h"
+#include "member_sync.h"
 #include "node_messages.h"
 #include "node_settings.h"
 #include "readiness_filter.h"
@@ -135,7 +136,6 @@
     void confirm(std::vector<outgoing_gossip>& datagrams, const present& now);
     void announceInForce(std::vector<outgoing_gossip>& datagrams, const present& now);
     void syncMembers(control_outputs& out, instant now);
-    void noteView(const gossip_message& answer, instant now);
     void judgeBackends(control_outputs& out, const present& now);
     void restateConfiguration(control_outputs& out, const present& now);
     void updateRamp(const present& now);
@@ -147,6 +147,7 @@
     control_hooks m_hooks;
     configuration_controller m_configuration;
     membership m_members;
+    member_sync m_memberSync;
     slot_controller m_slots;
     rate_ledger m_rates;
     action_desk m_actions;
@@ -166,11 +167,6 @@
     std::vector<std::optional<node_life>> m_knownHolders;
     std::optional<peer_address> m_ahead; ///< A peer that has read further, with the time it was seen.
     instant m_aheadSince {};
-    std::optional<peer_address> m_differing; ///< A peer with other member records.
-    instant m_differingSince {};
-    instant m_nextMemberSync {};
-    instant m_syncsPaidUntil {};
-    bool m_hasMembers = false;
     bool m_hasJoined = false; ///< This life's join was read back from the log.
     instant m_nextJudgement {};
     instant m_nextReport {};
--- a/packages/node/src/fleet_forwarder.h
+++ b/packages/node/src/fleet_forwarder.h
@@ -67,12 +67,4 @@
     retry_budget m_budget;
 };
 
-// Header fields between nodes, and those that callers see.
-inline constexpr std::string_view backendHeader = "pomelohub-backend";
-inline constexpr std::string_view serviceHeader = "pomelohub-service";
-inline constexpr std::string_view organisationHeader = "pomelohub-organisation";
-inline constexpr std::string_view idempotentHeader = "pomelohub-idempotent";
-inline constexpr std::string_view requestIdHeader = "x-request-id";
-inline constexpr std::string_view servedByHeader = "x-served-by";
-
 } // namespace pomelohub
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -241,8 +241,7 @@
     parts.control->leave([&left] { left.set_value(); });
     left.get_future().wait();
     // Callers and other nodes get time to see it; what they send until then is still served.
-    arrival_count never;
-    never.waitBeyond(0, m_clock().monotonic + noticeTime);
+    waitUntil(m_clock().monotonic + noticeTime);
     if (!waitUntilIdle(deadline))
         LOG(WARNING) << "drain time is over with requests under way";
     parts.callers->shutDown();
--- a/packages/node/src/rate_client.cpp
+++ b/packages/node/src/rate_client.cpp
@@ -35,24 +35,15 @@
 
 void rate_client::ask(const rate_request& request, std::function<void(const rate_grant&)> done)
 {
-    const auto& state = m_control->state();
-    auto holder = state.holderOf(slotOf(hashOf(request.part)));
-    if (!holder)
-        return done({});
-    if (*holder == state.self().node) {
-        m_control->withState([request, done = std::move(done)](control_state& own, const present& now) {
-            done(own.grant(request, now.monotonic).value_or(rate_grant {}));
-        });
-        return;
-    }
-    auto endpoint = state.endpointOf(*holder);
-    if (!endpoint)
-        return done({});
-    m_control->ask({ *holder, *endpoint }, std::string(control_path::rate), encode(request), askTimeout,
-        [done = std::move(done)](const result<std::string>& given) {
-            auto grant = given ? decodeRateGrant(*given) : std::nullopt;
-            done(grant.value_or(rate_grant {}));
-        });
+    holder_question question { control_path::rate, encode(request), askTimeout, {}, {} };
+    question.own = [request, done](control_state& state, const present& now) {
+        done(state.grant(request, now.monotonic).value_or(rate_grant {}));
+    };
+    question.done = [done = std::move(done)](const result<std::string>& given) {
+        auto grant = given ? decodeRateGrant(*given) : std::nullopt;
+        done(grant.value_or(rate_grant {}));
+    };
+    m_control->askHolder(slotOf(hashOf(request.part)), question);
 }
 
 } // namespace pomelohub
--- a/test/performance/policy.cpp
+++ b/test/performance/policy.cpp
@@ -120,8 +120,10 @@
         for (auto& backend : m_views[entry].backends) {
             bool isOut
                 = std::find(permit.ejected.begin(), permit.ejected.end(), backend.id) != permit.ejected.end();
-            if (isOut && !backend.stats->ejected.exchange(true))
-                ++m_ejections;
+            bool wasOut = backend.stats->ejectedUntil.load() > m_now;
+            if (isOut)
+                backend.stats->ejectedUntil = m_now + permit.lifetime;
+            m_ejections += isOut && !wasOut ? 1 : 0;
         }
     }
 
