--- /dev/null
+++ b/packages/decisions/src/fleet_controller.cpp
@@ -0,0 +1,102 @@
+#include "fleet_controller.h"
+
+namespace pomelohub {
+
+fleet_controller::fleet_controller(hooks hooks)
+    : m_hooks(std::move(hooks))
+{
+}
+
+bool fleet_controller::takeDocument(const std::string& document)
+{
+    if (document == m_operators.document)
+        return false;
+    auto table = m_hooks.decode(document);
+    if (!table) {
+        m_hooks.refused(table.error());
+        return false;
+    }
+    // Versions rise; an older one is a late or foreign record.
+    if (m_routes && (*table)->version <= m_routes->version) {
+        m_hooks.refused("version " + std::to_string((*table)->version) + " is not newer than "
+            + std::to_string(m_routes->version));
+        return false;
+    }
+    if (m_routes)
+        (*table)->continueFrom(*m_routes);
+    m_routes = *table;
+    m_operators.document = document;
+    return true;
+}
+
+bool fleet_controller::takeState(const operator_state& state)
+{
+    if (state.position < m_operators.position)
+        return false;
+    bool isChanged = !state.document.empty() && takeDocument(state.document);
+    if (state.evacuated != m_operators.evacuated) {
+        m_operators.evacuated = state.evacuated;
+        isChanged = true;
+    }
+    m_operators.position = state.position;
+    if (isChanged)
+        publish();
+    return isChanged;
+}
+
+bool fleet_controller::takeChanges(const std::vector<operator_change>& changes, std::uint64_t position)
+{
+    bool isChanged = false;
+    for (const auto& change : changes) {
+        if (change.document)
+            isChanged = takeDocument(*change.document) || isChanged;
+        if (!change.dataCentre)
+            continue;
+        if (change.isEvacuated)
+            isChanged = m_operators.evacuated.insert(*change.dataCentre).second || isChanged;
+        else
+            isChanged = m_operators.evacuated.erase(*change.dataCentre) > 0 || isChanged;
+    }
+    m_operators.position = std::max(m_operators.position, position);
+    if (isChanged)
+        publish();
+    return isChanged;
+}
+
+bool fleet_controller::takeAnnouncements(const std::vector<instance_announcement>& news)
+{
+    bool isChanged = false;
+    for (const auto& each : news)
+        isChanged = m_announcements.merge(each) || isChanged;
+    if (isChanged)
+        publish();
+    return isChanged;
+}
+
+handle<peer_state> fleet_controller::stateOf(const instance_announcement& announcement)
+{
+    auto& known = m_peers[announcement.node];
+    if (!known || known->announcement != announcement)
+        known = handle<peer_state>(new peer_state(announcement));
+    return known;
+}
+
+void fleet_controller::publish()
+{
+    handle<fleet_snapshot> next(new fleet_snapshot);
+    next->routes = m_routes;
+    next->evacuated = m_operators.evacuated;
+    auto present = m_announcements.present();
+    for (const auto& announcement : present) {
+        next->nodes.push_back({ announcement.node, announcement.endpoint });
+        next->services[announcement.service].push_back(stateOf(announcement));
+    }
+    std::erase_if(m_peers, [&](const auto& entry) {
+        const auto* known = m_announcements.find(entry.first);
+        return !known || known->hasLeft;
+    });
+    m_snapshot.publish(next);
+    m_hooks.published();
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/outcome_judge.cpp
@@ -0,0 +1,71 @@
+#include "outcome_judge.h"
+
+#include <algorithm>
+
+namespace pomelohub {
+
+outcome_judge::outcome_judge(judge_policy policy)
+    : m_policy(policy)
+    , m_trialsToClear(policy.trialsToClear)
+{
+}
+
+double outcome_judge::weightOf(backend_outcome outcome) const
+{
+    switch (outcome) {
+    case backend_outcome::served:
+        return 0;
+    case backend_outcome::failed:
+        return m_policy.failedWeight;
+    case backend_outcome::broken:
+    case backend_outcome::stuck:
+        return m_policy.brokenWeight;
+    }
+    return 0;
+}
+
+bool outcome_judge::note(backend_outcome outcome, bool wasTrial, instant now)
+{
+    m_failing = m_failing * m_policy.memory + weightOf(outcome) * (1 - m_policy.memory);
+    if (m_isSuspect) {
+        if (outcome != backend_outcome::served) {
+            m_servedTrials = 0;
+            return false;
+        }
+        // Requests from before the suspicion prove nothing of the present.
+        if (!wasTrial || ++m_servedTrials < m_trialsToClear)
+            return false;
+        m_isSuspect = false;
+        m_failing = 0;
+        return true;
+    }
+    if (m_failing < m_policy.suspectAbove)
+        return false;
+    bool isRelapse = m_suspectSince != instant {} && now - m_suspectSince < m_policy.relapseWindow;
+    m_trialsToClear
+        = isRelapse ? std::min(m_trialsToClear + 1, m_policy.mostTrialsToClear) : m_policy.trialsToClear;
+    m_isSuspect = true;
+    m_suspectSince = now;
+    m_servedTrials = 0;
+    m_nextTrial = now + m_policy.trialInterval;
+    return true;
+}
+
+bool outcome_judge::takeTrial(instant now)
+{
+    if (!m_isSuspect || now < m_nextTrial)
+        return false;
+    m_nextTrial = now + m_policy.trialInterval;
+    return true;
+}
+
+void outcome_judge::reset()
+{
+    m_failing = 0;
+    m_isSuspect = false;
+    m_servedTrials = 0;
+    m_trialsToClear = m_policy.trialsToClear;
+    m_suspectSince = {};
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/outcome_judge.h
@@ -0,0 +1,60 @@
+/** \file
+ * Defines outcome_judge, by which the node beside a backend server tells a gray failure from what requests
+ * met there. That node sees every request of the backend server, so a few outcomes are enough.
+ */
+#pragma once
+
+#include "core_types.h"
+
+namespace pomelohub {
+
+/** How a request ended at a backend server. */
+enum class backend_outcome {
+    served,
+    failed, ///< An answer that says that the server failed.
+    broken, ///< No whole answer: reset, cut short, or bytes that are no answer.
+    stuck, ///< Still no answer after many times the usual time.
+};
+
+struct judge_policy {
+    double memory = 0.7; ///< Share of the former estimate that each outcome leaves.
+    double failedWeight = 0.6; ///< A server fails some requests by itself, so one proves little.
+    double brokenWeight = 1.0;
+    double suspectAbove = 0.27; ///< Estimated failing share that makes the server suspect.
+    duration trialInterval = std::chrono::milliseconds(250); ///< Between trials of a suspect server.
+    std::uint32_t trialsToClear = 2; ///< Trials served in a row that clear it.
+    std::uint32_t mostTrialsToClear = 6; ///< Each relapse asks one more, up to this.
+    duration relapseWindow = std::chrono::seconds(10); ///< A suspicion within it counts as a relapse.
+};
+
+/** Thread safety: one thread at a time. */
+class outcome_judge {
+public:
+    explicit outcome_judge(judge_policy policy = {});
+
+    /** Notes an outcome. \return whether the server became suspect or was cleared by it. */
+    bool note(backend_outcome outcome, bool wasTrial, instant now);
+
+    bool isSuspect() const { return m_isSuspect; }
+
+    /** Whether a suspect server is due one more request that may be repeated elsewhere. Takes that turn. */
+    bool takeTrial(instant now);
+
+    /** Another start of the server: what was seen no longer counts. */
+    void reset();
+
+    double failingShare() const { return m_failing; }
+
+private:
+    double weightOf(backend_outcome outcome) const;
+
+    judge_policy m_policy;
+    double m_failing = 0;
+    bool m_isSuspect = false;
+    std::uint32_t m_servedTrials = 0;
+    std::uint32_t m_trialsToClear;
+    instant m_suspectSince {};
+    instant m_nextTrial {};
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/peer_choice.cpp
@@ -0,0 +1,50 @@
+#include "peer_choice.h"
+
+#include <algorithm>
+
+namespace pomelohub {
+
+namespace {
+
+    bool isEligible(const peer_state& peer, const std::set<data_centre_id>& evacuated,
+        const peer_choice_request& request, instant now)
+    {
+        const auto& announced = peer.announcement;
+        if (evacuated.contains(announced.dataCentre))
+            return false;
+        if (std::find(request.tried.begin(), request.tried.end(), announced.node) != request.tried.end())
+            return false;
+        if (request.includeAvoided)
+            return true;
+        return !peer.isAvoided(now) && !peer.isSilent.load(std::memory_order_relaxed);
+    }
+
+} // namespace
+
+handle<peer_state> choosePeer(const std::vector<handle<peer_state>>& candidates,
+    const std::set<data_centre_id>& evacuated, const peer_choice_request& request,
+    const peer_choice_policy& policy, const choice_random_hook& random, instant now)
+{
+    constexpr std::uint64_t jitterSteps = 1024;
+    handle<peer_state> best;
+    double bestCost = 0;
+    std::size_t compared = 0;
+    auto first = candidates.empty() ? 0 : random(candidates.size());
+    for (std::size_t i = 0; i < candidates.size() && compared < policy.sampleSize; ++i) {
+        const auto& peer = candidates[(first + i) % candidates.size()];
+        if (!isEligible(*peer, evacuated, request, now))
+            continue;
+        ++compared;
+        auto spread = 1 + policy.jitter * static_cast<double>(random(jitterSteps)) / jitterSteps;
+        auto cost = static_cast<double>(peer->estimatedAnswer(now).count()) * spread;
+        if (peer->announcement.dataCentre != request.ownDataCentre)
+            cost += static_cast<double>(policy.otherDataCentreCost.count());
+        if (!best || cost < bestCost) {
+            best = peer;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/peer_choice.h
@@ -0,0 +1,35 @@
+/** \file
+ * Defines choosePeer(), the choice of the node whose backend server gets a request.
+ */
+#pragma once
+
+#include "peer_state.h"
+
+#include <span>
+
+namespace pomelohub {
+
+/** Uniform random numbers below the argument. Thread safety: one thread at a time. */
+using choice_random_hook = std::function<std::uint64_t(std::uint64_t below)>;
+
+struct peer_choice_policy {
+    /** How much longer an answer in the own data centre may take before another one is chosen: bytes between
+     * data centres cost, and time within the objective does not. */
+    duration otherDataCentreCost = std::chrono::milliseconds(300);
+    std::size_t sampleSize = 16; ///< Candidates that are compared; bounds the cost in large services.
+    double jitter = 0.2; ///< Keeps nodes with the same view from choosing alike.
+};
+
+/** What the choice depends on besides the candidates. */
+struct peer_choice_request {
+    data_centre_id ownDataCentre;
+    std::span<const node_id> tried; ///< Nodes that must not be chosen again.
+    bool includeAvoided = false; ///< Also nodes that are avoided, when nothing else is left.
+};
+
+/** \return the best of the candidates, or null when none is left. Thread safety: any thread. */
+handle<peer_state> choosePeer(const std::vector<handle<peer_state>>& candidates,
+    const std::set<data_centre_id>& evacuated, const peer_choice_request& request,
+    const peer_choice_policy& policy, const choice_random_hook& random, instant now);
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/peer_state.cpp
@@ -0,0 +1,68 @@
+#include "peer_state.h"
+
+#include "hashing.h"
+
+#include <algorithm>
+
+namespace pomelohub {
+
+namespace {
+
+    /** A report older than this says little: most requests that it counted have ended. About the time that
+     * one request takes. */
+    constexpr duration reportLifetime = std::chrono::milliseconds(500);
+    /** Assumed before a peer has reported. */
+    constexpr duration unknownLatency = std::chrono::milliseconds(200);
+    constexpr std::uint32_t unknownSlots = 4;
+
+} // namespace
+
+void peer_state::note(const backend_report& report, instant now)
+{
+    auto load = report.inUse + report.waiting;
+    auto own = inFlight.load(std::memory_order_relaxed);
+    m_load.store(load > own ? load - own : 0, std::memory_order_relaxed);
+    m_slots.store(report.slots, std::memory_order_relaxed);
+    m_meanLatency.store(report.meanLatency, std::memory_order_relaxed);
+    m_reportedAt.store(now, std::memory_order_relaxed);
+}
+
+void peer_state::avoidUntil(instant until)
+{
+    auto present = m_avoidedUntil.load(std::memory_order_relaxed);
+    while (present < until
+        && !m_avoidedUntil.compare_exchange_weak(present, until, std::memory_order_relaxed)) { }
+}
+
+duration peer_state::estimatedAnswer(instant now) const
+{
+    auto slots = m_slots.load(std::memory_order_relaxed);
+    auto mean = m_meanLatency.load(std::memory_order_relaxed);
+    if (slots == 0)
+        slots = unknownSlots;
+    if (mean == duration::zero())
+        mean = unknownLatency;
+    double load = inFlight.load(std::memory_order_relaxed);
+    if (now - m_reportedAt.load(std::memory_order_relaxed) < reportLifetime)
+        load += m_load.load(std::memory_order_relaxed);
+    // Servers slow down as they fill, so load counts before the slots are full.
+    auto rounds = 1 + 0.5 * load / slots + std::max(0.0, (load + 1 - slots) / slots);
+    return std::chrono::duration_cast<duration>(mean * rounds);
+}
+
+const fleet_node* ownerOf(const fleet_snapshot& snapshot, std::string_view item)
+{
+    auto hash = stableHash(item);
+    const fleet_node* owner = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto& each : snapshot.nodes) {
+        auto weight = rendezvousWeight(each.id.text(), hash);
+        if (!owner || weight > highest) {
+            owner = &each;
+            highest = weight;
+        }
+    }
+    return owner;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/decisions/src/peer_state.h
@@ -0,0 +1,73 @@
+/** \file
+ * Defines peer_state, what this node knows of another node and the backend server beside it, and
+ * fleet_snapshot, the whole view that requests read.
+ */
+#pragma once
+
+#include "instance_announcement.h"
+#include "routing_table.h"
+
+#include <set>
+
+namespace pomelohub {
+
+/** The load of a backend server as the node beside it reports with each reply. */
+struct backend_report {
+    std::uint32_t inUse = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    duration meanLatency {};
+    bool isCold = false;
+    bool operator==(const backend_report&) const = default;
+};
+
+/** Thread safety: the announcement is constant, all else atomic. */
+struct peer_state : counted<peer_state> {
+    explicit peer_state(instance_announcement announced)
+        : announcement(std::move(announced))
+    {
+    }
+
+    void note(const backend_report& report, instant now);
+
+    /** Keeps requests away until \p until; a later time goes before an earlier one. */
+    void avoidUntil(instant until);
+
+    /** Lets requests go there again. */
+    void clearAvoidance() { m_avoidedUntil.store({}, std::memory_order_relaxed); }
+    bool isAvoided(instant now) const { return now < m_avoidedUntil.load(std::memory_order_relaxed); }
+
+    /** Estimated time until an answer to a request that is sent at \p now. */
+    duration estimatedAnswer(instant now) const;
+
+    const instance_announcement announcement;
+    std::atomic<std::uint32_t> inFlight { 0 }; ///< Requests of this node.
+    std::atomic<bool> isSilent { false }; ///< No sign of life on a connection that should show one.
+
+private:
+    std::atomic<std::uint32_t> m_load { 0 }; ///< In use and waiting, less what this node had in flight.
+    std::atomic<std::uint32_t> m_slots { 0 };
+    std::atomic<duration> m_meanLatency { duration::zero() };
+    std::atomic<instant> m_reportedAt { instant {} };
+    std::atomic<instant> m_avoidedUntil { instant {} };
+};
+
+/** Where a node is reached. */
+struct fleet_node {
+    node_id id;
+    std::string endpoint;
+};
+
+/** All that the path of a request reads, published as one value. */
+struct fleet_snapshot : counted<fleet_snapshot> {
+    handle<const routing_table> routes;
+    std::unordered_map<service_id, std::vector<handle<peer_state>>> services;
+    std::set<data_centre_id> evacuated;
+    std::vector<fleet_node> nodes;
+};
+
+/** The node that owns what \p item names, the same for all nodes that know the same fleet; null in an empty
+ * fleet. Thread safety: any thread. */
+const fleet_node* ownerOf(const fleet_snapshot& snapshot, std::string_view item);
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/entry_chain.cpp
@@ -0,0 +1,64 @@
+/** \file
+ * The filters that every request passes at the node that took it.
+ */
+#include "request_entry.h"
+
+namespace pomelohub {
+
+namespace {
+
+    /** Until the configuration is read after a start. */
+    constexpr std::chrono::milliseconds startRetryAfter { 200 };
+
+    result<void> requireConfiguration(entry_context& context, const present&)
+    {
+        if (context.snapshot && context.snapshot->routes)
+            return {};
+        return notRun(refusal_reason::nodeStarting, "the configuration is not known yet", startRetryAfter);
+    }
+
+    result<void> matchRoute(entry_context& context, const present&)
+    {
+        context.rule = context.snapshot->routes->match(context.caller.host, context.message.path());
+        if (context.rule)
+            return {};
+        return notRun(refusal_reason::routeUnknown, "no route for " + context.caller.host);
+    }
+
+    result<void> authenticate(entry_context& context, const present&)
+    {
+        const auto& routes = *context.snapshot->routes;
+        const auto& key = context.caller.key;
+        if (key && routes.hasOrganisations()) {
+            context.organisation = routes.organisationOf(*key);
+            if (context.organisation)
+                return {};
+            return notRun(refusal_reason::keyUnknown, "the key is not known");
+        }
+        if (context.rule->isOpen || !routes.hasOrganisations())
+            return {};
+        return notRun(refusal_reason::keyMissing, "the route asks for a key");
+    }
+
+} // namespace
+
+entry_chain makeEntryChain(const crash_quarantine& quarantine)
+{
+    entry_chain chain;
+    chain.add("configuration", requireConfiguration)
+        .add("route", matchRoute)
+        .add("key", authenticate)
+        .add("quarantine", [&quarantine](entry_context& context, const present& now) -> result<void> {
+            std::string_view organisation;
+            if (context.organisation)
+                organisation = context.organisation->id.text();
+            context.fingerprint = fingerprintOf(organisation, context.rule->services.front().service.text(),
+                context.message.method, context.message.target);
+            if (!quarantine.isQuarantined(context.fingerprint, now.monotonic))
+                return {};
+            return notRun(refusal_reason::requestQuarantined, "it ended backend servers before");
+        });
+    return chain;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/event_log.cpp
@@ -0,0 +1,104 @@
+#include "event_log.h"
+
+#include "hashing.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/async.h>
+#include <spdlog/spdlog.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+namespace pomelohub {
+
+namespace {
+
+    std::string quotedText(std::string_view text)
+    {
+        return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    std::string nameText(std::string_view name) { return ",\"" + std::string(name) + "\":"; }
+
+} // namespace
+
+event_value::event_value(std::string_view name, std::string_view value)
+    : text(nameText(name) + quotedText(value))
+{
+}
+
+event_value::event_value(std::string_view name, std::uint64_t value)
+    : text(nameText(name) + std::to_string(value))
+{
+}
+
+event_value::event_value(std::string_view name, int value)
+    : text(nameText(name) + std::to_string(value))
+{
+}
+
+event_value::event_value(std::string_view name, bool value)
+    : text(nameText(name) + (value ? "true" : "false"))
+{
+}
+
+event_value::event_value(std::string_view name, duration value)
+    : text(nameText(std::string(name) + "_ms")
+        + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count()))
+{
+}
+
+event_log::event_log(node_id node, event_log_policy policy, clock_hook clock)
+    : m_node(std::move(node))
+    , m_policy(policy)
+    , m_clock(std::move(clock))
+{
+    spdlog::init_thread_pool(policy.queueLines, 1);
+    m_logger
+        = std::make_shared<spdlog::async_logger>("events", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+            spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    m_logger->set_pattern("%v");
+    m_logger->flush_on(spdlog::level::info);
+}
+
+event_log::~event_log()
+{
+    m_logger.reset();
+    spdlog::shutdown();
+}
+
+bool event_log::mayWrite(event_weight weight, const request_id& request, instant now)
+{
+    if (weight == event_weight::routine)
+        return stableHash(request.text()) % m_policy.routineSample == 0;
+    auto second = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    if (m_second.exchange(second) != second)
+        m_linesInSecond = 0;
+    if (weight == event_weight::always)
+        return true;
+    if (++m_linesInSecond <= m_policy.linesPerSecond)
+        return true;
+    ++m_dropped;
+    return false;
+}
+
+void event_log::write(event_weight weight, std::string_view event, const request_id& request,
+    std::initializer_list<event_value> values)
+{
+    auto now = m_clock();
+    if (!mayWrite(weight, request, now.monotonic))
+        return;
+    std::string line = "{\"time\":" + std::to_string(now.wall.time_since_epoch().count())
+        + ",\"node\":" + quotedText(m_node.text()) + ",\"event\":\"" + std::string(event) + "\"";
+    if (!request.empty())
+        line += ",\"request\":" + quotedText(request.text());
+    for (const auto& value : values)
+        line += value.text;
+    auto dropped = m_dropped + spdlog::thread_pool()->overrun_counter();
+    if (auto reported = m_reported.exchange(dropped); dropped > reported)
+        line += ",\"lines_dropped_before\":" + std::to_string(dropped - reported);
+    line += "}";
+    m_logger->info(spdlog::string_view_t(line));
+}
+
+void event_log::flush() { m_logger->flush(); }
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/forward.cpp
@@ -0,0 +1,143 @@
+#include "forward.h"
+
+#include "http_reader.h"
+
+#include <charconv>
+
+namespace pomelohub {
+
+namespace {
+
+    using std::chrono::microseconds;
+
+    constexpr std::size_t unlimited = SIZE_MAX; // The listeners that took the message in have limited it.
+
+    std::string numberText(std::uint64_t value) { return std::to_string(value); }
+
+    std::string timeText(duration time)
+    {
+        return std::to_string(
+            std::chrono::duration_cast<microseconds>(std::max(time, duration::zero())).count());
+    }
+
+    std::uint64_t numberOf(const peer_message& message, std::string_view name)
+    {
+        auto text = message.value(name);
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
+
+    duration timeOf(const peer_message& message, std::string_view name)
+    {
+        return microseconds(static_cast<std::int64_t>(numberOf(message, name)));
+    }
+
+    std::optional<http_message> readWhole(http_parser_type type, std::string_view text, bool isHead)
+    {
+        std::optional<http_message> whole;
+        http_reader reader(type, { unlimited, unlimited },
+            { [&](http_message&& message) { whole = std::move(message); }, nullptr, [=] { return isHead; } });
+        if (reader.read(text) != http_read_error::none)
+            return std::nullopt;
+        return whole;
+    }
+
+} // namespace
+
+peer_message encodeForwardedRequest(const forwarded_request& request)
+{
+    peer_message message;
+    message.fields = {
+        { "type", "forward" },
+        { "id", request.id.text() },
+        { "service", request.service.text() },
+        { "caller", request.callerService.text() },
+        { "organisation", request.organisation.text() },
+        { "rank", numberText(request.rank) },
+        { "once", request.repeats == repeat_rule::once ? "1" : "0" },
+        { "nested", request.isNested ? "1" : "0" },
+        { "suspect-ok", request.acceptsSuspect ? "1" : "0" },
+        { "time-left", timeText(request.timeLeft) },
+        { "patience", timeText(request.patience) },
+        { "fingerprint", numberText(request.fingerprint) },
+    };
+    message.payload = requestText(request.message);
+    return message;
+}
+
+std::optional<forwarded_request> decodeForwardedFields(const peer_message& message)
+{
+    forwarded_request request;
+    request.id = request_id(std::string(message.value("id")));
+    request.service = service_id(std::string(message.value("service")));
+    if (request.id.empty() || request.service.empty())
+        return std::nullopt;
+    request.callerService = service_id(std::string(message.value("caller")));
+    request.organisation = organisation_id(std::string(message.value("organisation")));
+    request.rank = static_cast<std::uint32_t>(numberOf(message, "rank"));
+    request.repeats = message.value("once") == "0" ? repeat_rule::idempotent : repeat_rule::once;
+    request.isNested = message.value("nested") == "1";
+    request.acceptsSuspect = message.value("suspect-ok") == "1";
+    request.timeLeft = timeOf(message, "time-left");
+    request.patience = timeOf(message, "patience");
+    request.fingerprint = numberOf(message, "fingerprint");
+    return request;
+}
+
+std::optional<http_message> decodeRequestPayload(std::string_view payload)
+{
+    return readWhole(HTTP_REQUEST, payload, false);
+}
+
+peer_message encodeForwardReply(const forward_reply& reply, bool isHead)
+{
+    peer_message message;
+    const auto& report = reply.report;
+    message.fields = {
+        { "reached", reply.reachedBackend ? "1" : "0" },
+        { "avoid", timeText(reply.avoidFor) },
+        { "in-use", numberText(report.inUse) },
+        { "waiting", numberText(report.waiting) },
+        { "slots", numberText(report.slots) },
+        { "latency", timeText(report.meanLatency) },
+        { "cold", report.isCold ? "1" : "0" },
+    };
+    if (reply.answer) {
+        message.payload = answerText(*reply.answer, false, isHead);
+        return message;
+    }
+    const auto& refusal = reply.answer.error();
+    message.fields.push_back({ "outcome", std::string(toText(refusal.outcome)) });
+    message.fields.push_back({ "reason", std::string(toText(refusal.reason)) });
+    message.fields.push_back({ "detail", refusal.detail });
+    message.fields.push_back({ "retry-after", timeText(refusal.retryAfter) });
+    return message;
+}
+
+forward_reply decodeForwardReply(const peer_message& message, bool isHead)
+{
+    forward_reply reply;
+    reply.reachedBackend = message.value("reached") == "1";
+    reply.avoidFor = timeOf(message, "avoid");
+    reply.report.inUse = static_cast<std::uint32_t>(numberOf(message, "in-use"));
+    reply.report.waiting = static_cast<std::uint32_t>(numberOf(message, "waiting"));
+    reply.report.slots = static_cast<std::uint32_t>(numberOf(message, "slots"));
+    reply.report.meanLatency = timeOf(message, "latency");
+    reply.report.isCold = message.value("cold") == "1";
+    if (auto outcome = executionFromText(message.value("outcome"))) {
+        auto reason = refusalReasonFromText(message.value("reason")).value_or(refusal_reason::pathFailed);
+        auto retryAfter
+            = std::chrono::duration_cast<std::chrono::milliseconds>(timeOf(message, "retry-after"));
+        reply.answer
+            = tl::unexpected(verdict { *outcome, reason, std::string(message.value("detail")), retryAfter });
+        return reply;
+    }
+    if (auto answer = readWhole(HTTP_RESPONSE, message.payload, isHead))
+        reply.answer = std::move(*answer);
+    else
+        reply.answer = mayHaveRun(refusal_reason::pathFailed, "the reply of the other node cannot be read");
+    return reply;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/http_reader.cpp
@@ -0,0 +1,210 @@
+#include "http_reader.h"
+
+#include <climits>
+
+namespace pomelohub {
+
+namespace {
+
+    http_reader& readerOf(http_parser* parser) { return *static_cast<http_reader*>(parser->data); }
+
+    constexpr int skipBody = 1; // What http_parser expects of a callback when an answer has no body.
+
+} // namespace
+
+const http_parser_settings& http_reader::parserSettings()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings s;
+        http_parser_settings_init(&s);
+        s.on_message_begin = onMessageBegin;
+        s.on_url = onUrl;
+        s.on_status = onStatus;
+        s.on_header_field = onFieldName;
+        s.on_header_value = onFieldValue;
+        s.on_headers_complete = onHeadersComplete;
+        s.on_body = onBody;
+        s.on_message_complete = onMessageComplete;
+        return s;
+    }();
+    return settings;
+}
+
+http_reader::http_reader(http_parser_type type, http_reader_limits limits, hooks hooks)
+    : m_limits(limits)
+    , m_hooks(std::move(hooks))
+{
+    http_parser_init(&m_parser, type);
+    m_parser.data = this;
+}
+
+int http_reader::fail(http_read_error error)
+{
+    if (m_error == http_read_error::none)
+        m_error = error;
+    return -1;
+}
+
+// The parser takes a bare line feed for the end of a line; other readers do not.
+bool http_reader::checkLineEnds(std::string_view bytes)
+{
+    auto last = m_lastByte;
+    for (char c : bytes) {
+        if (c == '\n' && last != '\r')
+            return false;
+        if (c == '\0')
+            return false;
+        last = c;
+    }
+    return true;
+}
+
+http_read_error http_reader::read(std::string_view bytes)
+{
+    // Bytes are handed over up to each line feed while a head is read, so that only heads are checked for
+    // line ends and the size of a head is known.
+    while (!bytes.empty() && m_error == http_read_error::none) {
+        auto part = bytes;
+        if (!m_isHeadComplete) {
+            if (auto end = bytes.find('\n'); end != std::string_view::npos)
+                part = bytes.substr(0, end + 1);
+            bool isFolded = m_lastByte == '\n' && m_headBytes > 0 && (part[0] == ' ' || part[0] == '\t');
+            if (isFolded || !checkLineEnds(part)) {
+                fail(http_read_error::malformed);
+                break;
+            }
+            m_headBytes += part.size();
+            if (m_headBytes > m_limits.maxHeaderBytes) {
+                fail(http_read_error::headTooLarge);
+                break;
+            }
+        }
+        auto taken = http_parser_execute(&m_parser, &parserSettings(), part.data(), part.size());
+        if (HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED) {
+            http_parser_pause(&m_parser, 0);
+        } else if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade) {
+            fail(http_read_error::malformed);
+            break;
+        }
+        if (taken > 0)
+            m_lastByte = part[taken - 1];
+        bytes.remove_prefix(taken);
+    }
+    return m_error;
+}
+
+bool http_reader::finish()
+{
+    if (m_error != http_read_error::none)
+        return false;
+    if (!m_isInMessage)
+        return true;
+    http_parser_execute(&m_parser, &parserSettings(), nullptr, 0);
+    return HTTP_PARSER_ERRNO(&m_parser) == HPE_OK && !m_isInMessage;
+}
+
+int http_reader::onMessageBegin(http_parser* parser)
+{
+    auto& reader = readerOf(parser);
+    reader.m_message = {};
+    reader.m_isInMessage = true;
+    reader.m_isHeadComplete = false;
+    reader.m_wasValue = false;
+    return 0;
+}
+
+int http_reader::onUrl(http_parser* parser, const char* at, std::size_t length)
+{
+    readerOf(parser).m_message.target.append(at, length);
+    return 0;
+}
+
+int http_reader::onStatus(http_parser* parser, const char* at, std::size_t length)
+{
+    readerOf(parser).m_message.reason.append(at, length);
+    return 0;
+}
+
+int http_reader::onFieldName(http_parser* parser, const char* at, std::size_t length)
+{
+    auto& reader = readerOf(parser);
+    if (reader.m_isHeadComplete)
+        return 0; // Trailers are not passed on.
+    if (reader.m_wasValue || reader.m_message.fields.empty()) {
+        reader.m_message.fields.emplace_back();
+        reader.m_wasValue = false;
+    }
+    reader.m_message.fields.back().name.append(at, length);
+    return 0;
+}
+
+int http_reader::onFieldValue(http_parser* parser, const char* at, std::size_t length)
+{
+    auto& reader = readerOf(parser);
+    reader.m_wasValue = true;
+    if (!reader.m_isHeadComplete && !reader.m_message.fields.empty())
+        reader.m_message.fields.back().value.append(at, length);
+    return 0;
+}
+
+bool http_reader::isHeadWellFormed() const
+{
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    std::size_t hosts = 0;
+    for (const auto& [name, value] : m_message.fields) {
+        lengths += equalsIgnoringCase(name, "content-length") ? 1 : 0;
+        hosts += equalsIgnoringCase(name, "host") ? 1 : 0;
+        if (equalsIgnoringCase(name, "transfer-encoding")) {
+            ++encodings;
+            if (!equalsIgnoringCase(value, "chunked"))
+                return false;
+        }
+    }
+    if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0))
+        return false;
+    return m_parser.type == HTTP_RESPONSE || hosts == 1;
+}
+
+int http_reader::onHeadersComplete(http_parser* parser)
+{
+    auto& reader = readerOf(parser);
+    reader.m_isHeadComplete = true;
+    if (!reader.isHeadWellFormed())
+        return reader.fail(http_read_error::malformed);
+    if (parser->content_length != ULLONG_MAX && parser->content_length > reader.m_limits.maxBodyBytes)
+        return reader.fail(http_read_error::bodyTooLarge);
+    if (parser->type == HTTP_REQUEST) {
+        reader.m_message.method = http_method_str(static_cast<http_method>(parser->method));
+        auto expects = reader.m_message.field("expect");
+        if (expects && equalsIgnoringCase(*expects, "100-continue") && reader.m_hooks.continueExpected)
+            reader.m_hooks.continueExpected();
+        return 0;
+    }
+    reader.m_message.status = parser->status_code;
+    return reader.m_hooks.isBodiless && reader.m_hooks.isBodiless() ? skipBody : 0;
+}
+
+int http_reader::onBody(http_parser* parser, const char* at, std::size_t length)
+{
+    auto& reader = readerOf(parser);
+    if (reader.m_message.body.size() + length > reader.m_limits.maxBodyBytes)
+        return reader.fail(http_read_error::bodyTooLarge);
+    reader.m_message.body.append(at, length);
+    return 0;
+}
+
+int http_reader::onMessageComplete(http_parser* parser)
+{
+    auto& reader = readerOf(parser);
+    reader.m_message.keepsConnection = http_should_keep_alive(parser) != 0;
+    reader.m_isInMessage = false;
+    reader.m_isHeadComplete = false;
+    reader.m_headBytes = 0;
+    // The next message starts with a call of its own, so that its head is checked from its first byte.
+    http_parser_pause(parser, 1);
+    reader.m_hooks.message(std::move(reader.m_message));
+    return 0;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/http_server.cpp
@@ -0,0 +1,358 @@
+#include "http_server.h"
+
+namespace pomelohub {
+
+namespace {
+
+    using tcp = asio::ip::tcp;
+
+    constexpr std::size_t readSize = 16'384;
+    constexpr std::size_t maxUnsent = 1
+        << 20; ///< Bytes; a caller that does not read is not read from either.
+    /** How long bytes that cross our close are still read, so that they do not reset the last answer. */
+    constexpr duration lingerTime = std::chrono::milliseconds(500);
+    /** Pause after accept() failed, most likely for want of descriptors. */
+    constexpr duration acceptRetryDelay = std::chrono::milliseconds(50);
+
+    int statusOf(http_read_error error)
+    {
+        switch (error) {
+        case http_read_error::headTooLarge:
+            return 431;
+        case http_read_error::bodyTooLarge:
+            return 413;
+        default:
+            return 400;
+        }
+    }
+
+} // namespace
+
+/** One connection of a caller. */
+class http_server_connection : public counted<http_server_connection> {
+public:
+    http_server_connection(http_server& server, tcp::socket socket, http_server_limits limits)
+        : m_server(server)
+        , m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_limits(limits)
+        , m_reader(HTTP_REQUEST, limits.reader,
+              { [this](http_message&& message) { takeMessage(std::move(message)); },
+                  [this] { sendContinue(); }, nullptr })
+    {
+        ++m_server.m_connections;
+    }
+
+    ~http_server_connection() { --m_server.m_connections; }
+
+    http_server_connection(const http_server_connection&) = delete;
+    http_server_connection& operator=(const http_server_connection&) = delete;
+
+    void start()
+    {
+        noteProgress();
+        checkTimeouts();
+        readMore();
+    }
+
+    void flush()
+    {
+        while (!m_pending.empty() && (m_pending.front()->m_answer || m_pending.front()->m_isAborted)) {
+            auto responder = m_pending.front();
+            m_pending.pop_front();
+            --m_server.m_pending;
+            if (responder->m_isAborted) {
+                end();
+                return;
+            }
+            bool close = responder->m_closesAfter || m_server.isDraining();
+            m_unsent += answerText(*responder->m_answer, close, responder->m_isBodiless);
+            responder->m_answer.reset();
+            if (close) {
+                m_isClosing = true;
+                dropPending();
+            }
+        }
+        writeMore();
+        readMore();
+    }
+
+private:
+    void noteProgress() { m_lastProgress = m_server.m_hooks.clock().monotonic; }
+
+    void takeMessage(http_message&& message)
+    {
+        if (m_isClosing)
+            return;
+        bool isLast = !message.keepsConnection;
+        handle<http_responder> responder(
+            new http_responder(this, message.method == "HEAD", m_server.m_hooks.clock().monotonic));
+        responder->m_closesAfter = isLast;
+        m_isInputDone = m_isInputDone || isLast;
+        m_pending.push_back(responder);
+        ++m_server.m_pending;
+        m_server.m_hooks.handler(std::move(message), responder);
+    }
+
+    void sendContinue()
+    {
+        if (!m_pending.empty() || m_isClosing)
+            return; // An answer to an earlier request is due first; the caller sends without the sign then.
+        m_unsent += "HTTP/1.1 100 Continue\r\n\r\n";
+        writeMore();
+    }
+
+    bool mayRead() const
+    {
+        return !m_isReading && !m_isClosed && !m_isInputDone && m_pending.size() < m_limits.maxPipelined
+            && m_unsent.size() < maxUnsent;
+    }
+
+    // Reading goes on while requests wait for answers: that is how a caller that leaves is noticed. After
+    // the last request only the end of the connection is read.
+    void readMore()
+    {
+        bool onlyForEnd = m_isInputDone || m_isClosing;
+        if (m_isReading || m_isClosed || (!onlyForEnd && !mayRead()))
+            return;
+        m_isReading = true;
+        m_socket.async_read_some(asio::buffer(m_input),
+            [self = handle<http_server_connection>(this)](
+                std::error_code error, std::size_t length) { self->onRead(error, length); });
+    }
+
+    void onRead(std::error_code error, std::size_t length)
+    {
+        m_isReading = false;
+        if (m_isClosed)
+            return;
+        if (error) {
+            end();
+            return;
+        }
+        if (m_isInputDone || m_isClosing) {
+            readMore();
+            return;
+        }
+        noteProgress();
+        bool wasInHead = m_reader.isInHead();
+        auto result = m_reader.read({ m_input.data(), length });
+        if (!wasInHead && m_reader.isInHead())
+            m_headStart = m_lastProgress;
+        if (result != http_read_error::none && !m_isInputDone)
+            refuse(statusOf(result), "the request cannot be read");
+        readMore();
+    }
+
+    void refuse(int status, std::string_view detail)
+    {
+        m_isInputDone = true;
+        handle<http_responder> responder(new http_responder(this, false, m_server.m_hooks.clock().monotonic));
+        responder->m_closesAfter = true;
+        m_pending.push_back(responder);
+        ++m_server.m_pending;
+        responder->respond(makeAnswer(status, std::string(detail) + "\n", "text/plain"));
+    }
+
+    void writeMore()
+    {
+        if (m_isWriting || m_isClosed)
+            return;
+        if (m_unsent.empty()) {
+            if (m_isClosing)
+                startLinger();
+            return;
+        }
+        m_isWriting = true;
+        m_writing.swap(m_unsent);
+        m_unsent.clear();
+        asio::async_write(m_socket, asio::buffer(m_writing),
+            [self = handle<http_server_connection>(this)](std::error_code error, std::size_t) {
+                self->m_isWriting = false;
+                self->m_writing.clear();
+                if (self->m_isClosed)
+                    return;
+                if (error) {
+                    self->end();
+                    return;
+                }
+                self->noteProgress();
+                self->writeMore();
+                self->readMore();
+            });
+    }
+
+    void startLinger()
+    {
+        if (m_isLingering)
+            return;
+        m_isLingering = true;
+        std::error_code ignored; // The peer may have closed already, which is the aim.
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        m_timer.expires_after(lingerTime);
+        m_timer.async_wait([self = handle<http_server_connection>(this)](std::error_code error) {
+            if (!error)
+                self->end();
+        });
+        readMore();
+    }
+
+    void checkTimeouts()
+    {
+        if (m_isClosed || m_isLingering)
+            return;
+        auto now = m_server.m_hooks.clock().monotonic;
+        bool isIdle = m_pending.empty() && m_unsent.empty() && !m_isWriting;
+        if (m_reader.isInHead() && now - m_headStart >= m_limits.headerTimeout && !m_isInputDone)
+            refuse(408, "the head of the request took too long");
+        else if (isIdle && now - m_lastProgress >= m_limits.idleTimeout) {
+            end();
+            return;
+        }
+        auto next = m_reader.isInHead() ? m_headStart + m_limits.headerTimeout
+                                        : m_lastProgress + m_limits.idleTimeout;
+        constexpr duration shortestCheck = std::chrono::milliseconds(200);
+        m_timer.expires_after(std::max(next - now, shortestCheck));
+        m_timer.async_wait([self = handle<http_server_connection>(this)](std::error_code error) {
+            if (!error)
+                self->checkTimeouts();
+        });
+    }
+
+    void dropPending()
+    {
+        auto dropped = std::move(m_pending);
+        m_pending.clear();
+        m_server.m_pending -= dropped.size();
+        for (const auto& responder : dropped) {
+            responder->m_isCancelled = true;
+            auto cancelled = std::move(responder->cancelled);
+            responder->cancelled = nullptr;
+            responder->m_connection = nullptr;
+            if (cancelled)
+                cancelled();
+        }
+    }
+
+    void end()
+    {
+        if (m_isClosed)
+            return;
+        handle<http_server_connection> self(this);
+        m_isClosed = true;
+        std::error_code ignored; // Nothing is left to do for a socket that cannot be closed.
+        m_socket.close(ignored);
+        m_timer.cancel();
+        dropPending();
+    }
+
+    http_server& m_server;
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    http_server_limits m_limits;
+    http_reader m_reader;
+    std::array<char, readSize> m_input {};
+    std::string m_unsent;
+    std::string m_writing;
+    std::deque<handle<http_responder>> m_pending;
+    instant m_lastProgress {};
+    instant m_headStart {};
+    bool m_isReading = false;
+    bool m_isWriting = false;
+    bool m_isInputDone = false;
+    bool m_isClosing = false;
+    bool m_isLingering = false;
+    bool m_isClosed = false;
+};
+
+http_responder::http_responder(handle<http_server_connection> connection, bool bodiless, instant receivedAt)
+    : m_connection(std::move(connection))
+    , m_receivedAt(receivedAt)
+    , m_isBodiless(bodiless)
+{
+}
+
+http_responder::~http_responder() = default;
+
+void http_responder::respond(http_message answer)
+{
+    if (!m_connection || m_answer || m_isAborted)
+        return;
+    m_answer = std::move(answer);
+    cancelled = nullptr;
+    auto connection = std::move(m_connection);
+    m_connection = nullptr;
+    connection->flush();
+}
+
+void http_responder::abort()
+{
+    if (!m_connection)
+        return;
+    m_isAborted = true;
+    cancelled = nullptr;
+    auto connection = std::move(m_connection);
+    m_connection = nullptr;
+    connection->flush();
+}
+
+http_server::http_server(asio::io_context& context, hooks hooks)
+    : m_context(context)
+    , m_hooks(std::move(hooks))
+    , m_acceptor(context)
+    , m_retryTimer(context)
+{
+}
+
+std::optional<std::string> http_server::listen(const tcp::endpoint& address)
+{
+    std::error_code error;
+    m_acceptor.open(address.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(address, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return "cannot listen on " + address.address().to_string() + ":" + std::to_string(address.port())
+            + ": " + error.message();
+    accept();
+    return std::nullopt;
+}
+
+void http_server::accept()
+{
+    auto* place = m_hooks.placeConnection ? m_hooks.placeConnection() : nullptr;
+    auto& context = place ? *place : m_context;
+    m_acceptor.async_accept(context, [this](std::error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (error) {
+            m_retryTimer.expires_after(acceptRetryDelay);
+            m_retryTimer.async_wait([this](std::error_code stopped) {
+                if (!stopped)
+                    accept();
+            });
+            return;
+        }
+        auto limits = m_hooks.limits();
+        if (m_connections < limits.maxConnections) {
+            std::error_code ignored; // Without the option answers are only slower.
+            socket.set_option(tcp::no_delay(true), ignored);
+            auto executor = socket.get_executor();
+            handle<http_server_connection> connection(
+                new http_server_connection(*this, std::move(socket), limits));
+            asio::dispatch(executor, [connection] { connection->start(); });
+        }
+        accept();
+    });
+}
+
+void http_server::close()
+{
+    std::error_code ignored; // The process is about to end.
+    m_acceptor.close(ignored);
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -0,0 +1,100 @@
+#include "proxy_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace pomelohub {
+
+namespace {
+
+    using prometheus::BuildCounter;
+    using prometheus::BuildGauge;
+
+    /** Upper bounds in seconds, from a hop on one machine to the longest time limits in use. */
+    const prometheus::Histogram::BucketBoundaries latencyBounds { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1,
+        1.5, 2.5, 5, 10 };
+
+} // namespace
+
+proxy_metrics::proxy_metrics()
+    : m_answers(BuildCounter()
+                    .Name("pomelohub_answers_total")
+                    .Help("Answers of backend servers passed on, by status class")
+                    .Register(m_registry))
+    , m_refusals(BuildCounter()
+                     .Name("pomelohub_refusals_total")
+                     .Help("Requests answered by the proxy itself, by reason and status")
+                     .Register(m_registry))
+    , m_attemptFailures(BuildCounter()
+                            .Name("pomelohub_attempt_failures_total")
+                            .Help("Attempts that brought no answer, by reason")
+                            .Register(m_registry))
+    , m_events(BuildCounter()
+                   .Name("pomelohub_request_events_total")
+                   .Help("Retries, hedges and callers that left")
+                   .Register(m_registry))
+    , m_storeCalls(BuildCounter()
+                       .Name("pomelohub_store_calls_total")
+                       .Help("Calls to the platform's store, by result")
+                       .Register(m_registry))
+    , m_latency(prometheus::BuildHistogram()
+                    .Name("pomelohub_answer_seconds")
+                    .Help("Time from the whole request to the answer")
+                    .Register(m_registry)
+                    .Add({}, latencyBounds))
+    , m_version(BuildGauge()
+                    .Name("pomelohub_configuration_version")
+                    .Help("Version in force at this node")
+                    .Register(m_registry)
+                    .Add({}))
+    , m_nodes(BuildGauge().Name("pomelohub_known_nodes").Help("Nodes known").Register(m_registry).Add({}))
+    , m_linesDropped(BuildGauge()
+                         .Name("pomelohub_log_lines_dropped")
+                         .Help("Log lines that were not written")
+                         .Register(m_registry)
+                         .Add({}))
+{
+}
+
+void proxy_metrics::noteAnswer(int status, duration took)
+{
+    m_answers.Add({ { "class", std::to_string(status / 100) + "xx" } }).Increment();
+    m_latency.Observe(std::chrono::duration<double>(took).count());
+}
+
+void proxy_metrics::noteRefusal(refusal_reason reason, int status)
+{
+    m_refusals.Add({ { "reason", std::string(toText(reason)) }, { "status", std::to_string(status) } })
+        .Increment();
+}
+
+void proxy_metrics::noteAttemptFailure(refusal_reason reason)
+{
+    m_attemptFailures.Add({ { "reason", std::string(toText(reason)) } }).Increment();
+}
+
+void proxy_metrics::noteRetry() { m_events.Add({ { "event", "retry" } }).Increment(); }
+
+void proxy_metrics::noteHedge() { m_events.Add({ { "event", "hedge" } }).Increment(); }
+
+void proxy_metrics::noteCallerLeft() { m_events.Add({ { "event", "caller_left" } }).Increment(); }
+
+void proxy_metrics::noteStoreCall(bool succeeded)
+{
+    m_storeCalls.Add({ { "result", succeeded ? "answered" : "failed" } }).Increment();
+}
+
+void proxy_metrics::setConfigurationVersion(std::uint64_t version)
+{
+    m_version.Set(static_cast<double>(version));
+}
+
+void proxy_metrics::setKnownNodes(std::size_t count) { m_nodes.Set(static_cast<double>(count)); }
+
+void proxy_metrics::setLinesDropped(std::uint64_t count) { m_linesDropped.Set(static_cast<double>(count)); }
+
+std::string proxy_metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/proxy_metrics.h
@@ -0,0 +1,50 @@
+/** \file
+ * Defines proxy_metrics, the counters and histograms of one node in the Prometheus text form. No label's
+ * number of values grows with organisations, routes or requests.
+ */
+#pragma once
+
+#include "verdict.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+
+namespace pomelohub {
+
+/** Thread safety: any thread. */
+class proxy_metrics {
+public:
+    proxy_metrics();
+
+    void noteAnswer(int status, duration took);
+    void noteRefusal(refusal_reason reason, int status);
+    void noteAttemptFailure(refusal_reason reason);
+    void noteRetry();
+    void noteHedge();
+    void noteCallerLeft();
+    void noteStoreCall(bool succeeded);
+    void setConfigurationVersion(std::uint64_t version);
+    void setKnownNodes(std::size_t count);
+    void setLinesDropped(std::uint64_t count);
+
+    /** All of them as text. */
+    std::string text() const;
+
+private:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter>& m_answers;
+    prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Counter>& m_attemptFailures;
+    prometheus::Family<prometheus::Counter>& m_events;
+    prometheus::Family<prometheus::Counter>& m_storeCalls;
+    prometheus::Histogram& m_latency;
+    prometheus::Gauge& m_version;
+    prometheus::Gauge& m_nodes;
+    prometheus::Gauge& m_linesDropped;
+};
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/proxy_node.cpp
@@ -0,0 +1,460 @@
+#include "proxy_node.h"
+
+#include "hashing.h"
+
+#include <random>
+
+namespace pomelohub {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using tcp = asio::ip::tcp;
+
+    /** Callers are told to go elsewhere by two questions for readiness, one a second. New requests of callers
+     * and of other nodes are served until then. */
+    constexpr duration gatewayLeaveDelay = milliseconds(1500);
+    constexpr duration shortestStop = milliseconds(2300);
+    /** Left of the grace for the last answers and the end of the process. */
+    constexpr duration graceMargin = milliseconds(500);
+    constexpr duration stopCheckInterval = milliseconds(50);
+    constexpr duration reloadInterval = std::chrono::seconds(2);
+
+    choice_random_hook makeRandom()
+    {
+        auto generator = std::make_shared<std::mt19937_64>(std::random_device {}());
+        return [generator](std::uint64_t below) { return (*generator)() % below; };
+    }
+
+    std::string grantText(const allowance_grant& grant)
+    {
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::microseconds>(grant.retryAfter).count());
+    }
+
+    std::uint64_t numberIn(const peer_message& message, std::string_view name)
+    {
+        return std::strtoull(std::string(message.value(name)).c_str(), nullptr, 10);
+    }
+
+    allowance_grant grantFrom(const peer_message& message)
+    {
+        return { static_cast<std::uint32_t>(numberIn(message, "tokens")),
+            std::chrono::microseconds(numberIn(message, "retry-after")) };
+    }
+
+} // namespace
+
+/** One thread that serves requests. */
+struct proxy_node::worker {
+    explicit worker(proxy_node& node)
+        : guard(asio::make_work_guard(context))
+        , forwarder(context, node.m_settings.node, {}, node.m_log, { node.m_clock, nullptr })
+    {
+    }
+
+    static worker*& current()
+    {
+        thread_local worker* present = nullptr;
+        return present;
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard;
+    peer_forwarder forwarder;
+    std::unique_ptr<request_entry> entry;
+    std::thread thread;
+};
+
+proxy_node::proxy_node(proxy_settings settings, proxy_surroundings surroundings, clock_hook clock)
+    : m_settings(std::move(settings))
+    , m_surroundings(std::move(surroundings))
+    , m_clock(std::move(clock))
+    , m_log(m_settings.node, {}, m_clock)
+    , m_quarantine({})
+    , m_controller({ m_surroundings.decodeConfiguration, [this] { published(); },
+          [this](const std::string& reason) {
+              m_log.write(event_weight::always, "configuration_refused", {}, { { "reason", reason } });
+          } })
+    , m_ledger({}, m_settings.isFirstStart, m_clock().monotonic)
+    , m_signals(m_control, SIGTERM, SIGINT, SIGHUP)
+    , m_stopTimer(m_control)
+    , m_reloadTimer(m_control)
+{
+}
+
+proxy_node::~proxy_node()
+{
+    for (const auto& each : m_workers) {
+        each->context.stop();
+        if (each->thread.joinable())
+            each->thread.join();
+    }
+}
+
+http_server_limits proxy_node::callerLimits() const
+{
+    http_server_limits limits;
+    limits.maxConnections = m_settings.maxConnections;
+    auto snapshot = m_controller.snapshot();
+    if (!snapshot || !snapshot->routes)
+        return limits;
+    const auto& configured = snapshot->routes->limits;
+    limits.reader = { configured.maxHeaderBytes, configured.maxBodyBytes };
+    limits.headerTimeout = configured.headerTimeout;
+    limits.idleTimeout = configured.idleTimeout;
+    return limits;
+}
+
+control_loop::hooks proxy_node::controlHooks()
+{
+    return { m_clock, makeRandom(),
+        [this](const std::string& endpoint, peer_message message, duration timeout,
+            std::function<void(std::optional<peer_message>)> done) {
+            auto& first = *m_workers.front();
+            asio::post(first.context,
+                [this, &first, endpoint, message = std::move(message), timeout,
+                    done = std::move(done)]() mutable {
+                    first.forwarder.ask(endpoint, std::move(message), timeout,
+                        [this, done = std::move(done)](std::optional<peer_message> answer) {
+                            asio::post(m_control,
+                                [done, answer = std::move(answer)]() mutable { done(std::move(answer)); });
+                        });
+                });
+        } };
+}
+
+std::optional<std::string> proxy_node::run(std::function<std::optional<proxy_settings>()> reload)
+{
+    auto backend = endpointFromText(m_settings.backendEndpoint);
+    // The gateway runs on the thread of the first worker, whose forwarder uses it without a link.
+    auto firstContext = std::make_unique<worker>(*this);
+    auto& context = firstContext->context;
+    m_gateway = std::make_unique<backend_gateway>(context, *backend, m_settings.service,
+        m_settings.dataCentre, m_surroundings.caller, gateway_policy {}, m_log,
+        backend_gateway::hooks { m_clock, [this] { return m_controller.snapshot(); },
+            [this](request_fingerprint fingerprint, const backend_server_id& id) {
+                asio::post(m_control, [this, fingerprint, id] {
+                    bool isNew = m_quarantine.noteCrash(fingerprint, id, m_clock().monotonic);
+                    m_log.write(event_weight::always, isNew ? "request_quarantined" : "request_suspect", {},
+                        { { "fingerprint", fingerprint }, { "backend", id.text() } });
+                });
+            },
+            [this](request_fingerprint fingerprint) {
+                if (m_quarantine.isSuspect(fingerprint))
+                    asio::post(m_control, [this, fingerprint] { m_quarantine.noteAnswer(fingerprint); });
+            } });
+    firstContext->forwarder.setGateway(m_gateway.get());
+    m_workers.push_back(std::move(firstContext));
+    while (m_workers.size() < m_settings.threads)
+        m_workers.push_back(std::make_unique<worker>(*this));
+    for (const auto& each : m_workers) {
+        auto* asking = each.get();
+        each->entry = std::make_unique<request_entry>(each->context, m_settings.node, m_settings.service,
+            m_settings.dataCentre, m_surroundings.caller, m_quarantine, each->forwarder, entry_policy {},
+            m_log, m_metrics,
+            request_entry::hooks { m_clock, [this] { return m_controller.snapshot(); }, makeRandom(),
+                [this, asking](const handle<const organisation_limits>& limits, std::uint32_t wanted,
+                    duration timeout, std::function<void(std::optional<allowance_grant>)> done) {
+                    askAllowance(*asking, limits, wanted, timeout, std::move(done));
+                } });
+    }
+    if (auto error = listenAll())
+        return error;
+    instance_announcement self { m_settings.node,
+        static_cast<incarnation>(m_clock().wall.time_since_epoch().count()), 0, m_settings.peersEndpoint,
+        m_settings.dataCentre, m_settings.service, false };
+    m_loop = std::make_unique<control_loop>(m_control, self, m_settings.seeds, m_controller, m_quarantine,
+        m_surroundings.makeStore(m_control, m_settings, m_log), control_policy {}, m_log, m_metrics,
+        controlHooks());
+    m_log.write(event_weight::always, "started", {},
+        { { "service", m_settings.service.text() }, { "data_centre", m_settings.dataCentre.text() },
+            { "threads", m_settings.threads }, { "first_start", m_settings.isFirstStart } });
+    for (const auto& each : m_workers) {
+        each->thread = std::thread([raw = each.get()] {
+            worker::current() = raw;
+            raw->context.run();
+        });
+    }
+    m_loop->start();
+    waitForSignals(reload);
+    reloadLater(reload);
+    m_control.run();
+    m_log.write(event_weight::always, "stopped", {}, {});
+    m_log.flush();
+    return std::nullopt;
+}
+
+std::optional<std::string> proxy_node::listenAll()
+{
+    auto& first = m_workers.front()->context;
+    m_callers = std::make_unique<http_server>(first,
+        http_server::hooks { [](http_message&& message, handle<http_responder> responder) {
+                                worker::current()->entry->serve(std::move(message), std::move(responder));
+                            },
+            [this] { return callerLimits(); }, m_clock,
+            [this] { return &m_workers[m_nextWorker++ % m_workers.size()]->context; } });
+    auto ownLimits = [] { return http_server_limits {}; };
+    m_backendCalls = std::make_unique<http_server>(m_control,
+        http_server::hooks { [this](http_message&& message, handle<http_responder> responder) {
+                                takeBackendCall(message, responder);
+                            },
+            ownLimits, m_clock, nullptr });
+    m_readiness = std::make_unique<http_server>(m_control,
+        http_server::hooks { [this](http_message&& message, handle<http_responder> responder) {
+                                if (m_surroundings.isReadinessQuestion(message))
+                                    answerReadiness(responder);
+                                else
+                                    responder->respond(makeAnswer(404, ""));
+                            },
+            ownLimits, m_clock, nullptr });
+    m_metricsServer = std::make_unique<http_server>(m_control,
+        http_server::hooks { [this](http_message&&, handle<http_responder> responder) {
+                                m_metrics.setLinesDropped(m_log.droppedCount());
+                                responder->respond(
+                                    makeAnswer(200, m_metrics.text(), "text/plain; version=0.0.4"));
+                            },
+            ownLimits, m_clock, nullptr });
+    struct listener {
+        http_server* server;
+        const std::string& address;
+    };
+    for (const auto& each : { listener { m_callers.get(), m_settings.callersEndpoint },
+             listener { m_backendCalls.get(), m_settings.backendCallsEndpoint },
+             listener { m_readiness.get(), m_settings.readinessEndpoint },
+             listener { m_metricsServer.get(), m_settings.metricsEndpoint } }) {
+        auto address = endpointFromText(each.address);
+        if (!address)
+            continue; // Only the address for metrics may be left out.
+        if (auto error = each.server->listen(*address))
+            return error;
+    }
+    auto address = endpointFromText(m_settings.peersEndpoint);
+    try {
+        m_peerAcceptor = std::make_unique<tcp::acceptor>(first, *address);
+    } catch (const std::system_error& error) {
+        return "cannot listen on " + m_settings.peersEndpoint + ": " + error.what();
+    }
+    acceptPeers();
+    return std::nullopt;
+}
+
+void proxy_node::acceptPeers()
+{
+    m_peerAcceptor->async_accept([this](std::error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error) {
+            auto link = peer_link::makeAsked(std::move(socket), {},
+                { nullptr, nullptr,
+                    [this](handle<peer_request> request) { takePeerRequest(std::move(request)); }, m_clock });
+            link->start();
+        } else {
+            m_log.write(event_weight::failure, "peer_not_accepted", {}, { { "error", error.message() } });
+        }
+        acceptPeers();
+    });
+}
+
+void proxy_node::takePeerRequest(handle<peer_request> request)
+{
+    auto type = request->message.value("type");
+    if (type == "forward") {
+        takeForwarded(request);
+    } else if (type == "allowance") {
+        takeAllowanceQuestion(request);
+    } else if (type == "gossip") {
+        asio::post(m_control, [this, request] {
+            auto answer = m_loop->answer(request->message);
+            asio::post(m_workers.front()->context,
+                [request, answer] { request->reply(answer.value_or(peer_message {})); });
+        });
+    } else {
+        m_log.write(event_weight::failure, "peer_request_unknown", {}, { { "type", type } });
+        request->reply({});
+    }
+}
+
+void proxy_node::takeForwarded(const handle<peer_request>& request)
+{
+    auto fields = decodeForwardedFields(request->message);
+    if (!fields) {
+        m_log.write(event_weight::failure, "peer_request_unreadable", {}, {});
+        request->reply(encodeForwardReply({}, false));
+        return;
+    }
+    handle<gateway_request> local(new gateway_request);
+    local->request = std::move(*fields);
+    local->isMessageHere = !request->isOffer;
+    auto takeMessage = [local, raw = request.get()] {
+        auto message = decodeRequestPayload(raw->message.payload);
+        raw->message.payload.clear();
+        if (message)
+            local->request.message = std::move(*message);
+        return message.has_value();
+    };
+    if (local->isMessageHere && !takeMessage()) {
+        request->reply(encodeForwardReply({}, false));
+        return;
+    }
+    local->reply = [request, raw = local.get()](const forward_reply& reply) {
+        request->reply(encodeForwardReply(reply, raw->request.message.method == "HEAD"));
+    };
+    request->cancelled = [this, local] { m_gateway->cancel(*local); };
+    if (request->isOffer) {
+        local->granted = [request] { request->grant(); };
+        request->committed = [this, local, takeMessage] {
+            if (takeMessage())
+                m_gateway->commit(*local);
+            else
+                m_gateway->cancel(*local);
+        };
+    }
+    m_gateway->submit(local);
+}
+
+void proxy_node::takeAllowanceQuestion(const handle<peer_request>& request)
+{
+    auto snapshot = m_controller.snapshot();
+    auto limits = snapshot && snapshot->routes ? snapshot->routes->organisationNamed(
+                      organisation_id(std::string(request->message.value("organisation"))))
+                                               : nullptr;
+    if (!limits) {
+        request->reply({}); // The asking node knows a newer configuration; it falls back to its share.
+        return;
+    }
+    auto wanted = static_cast<std::uint32_t>(numberIn(request->message, "wanted"));
+    auto grant = m_ledger.grant(*limits, wanted, m_clock().monotonic);
+    request->reply(
+        { { { "tokens", std::to_string(grant.tokens) }, { "retry-after", grantText(grant) } }, "" });
+}
+
+void proxy_node::askAllowance(worker& asking, const handle<const organisation_limits>& limits,
+    std::uint32_t wanted, duration timeout, std::function<void(std::optional<allowance_grant>)> done)
+{
+    auto snapshot = m_controller.snapshot();
+    const auto* owner = ownerOf(*snapshot, limits->id.text());
+    if (!owner || (owner->id == m_settings.node && &asking == m_workers.front().get())) {
+        done(m_ledger.grant(*limits, wanted, m_clock().monotonic));
+        return;
+    }
+    peer_message question { { { "type", "allowance" }, { "organisation", limits->id.text() },
+                                { "wanted", std::to_string(wanted) } },
+        "" };
+    asking.forwarder.ask(owner->endpoint, std::move(question), timeout,
+        [done = std::move(done)](const std::optional<peer_message>& answer) {
+            if (answer && !answer->value("tokens").empty())
+                done(grantFrom(*answer));
+            else
+                done(std::nullopt);
+        });
+}
+
+void proxy_node::takeBackendCall(const http_message& message, const handle<http_responder>& responder)
+{
+    auto call = m_surroundings.readBackendCall(message);
+    if (!call) {
+        m_log.write(event_weight::failure, "backend_call_unreadable", {}, { { "reason", call.error() } });
+        responder->respond(makeAnswer(400, ""));
+        return;
+    }
+    // The answer binds this node, so the gateway takes the news in first.
+    asio::post(m_workers.front()->context, [this, call = std::move(*call), responder] {
+        if (const auto* heartbeat = std::get_if<backend_heartbeat>(&call)) {
+            if (heartbeat->service == m_settings.service)
+                m_gateway->takeHeartbeat(*heartbeat);
+            else
+                m_log.write(event_weight::failure, "heartbeat_of_other_service", {},
+                    { { "backend", heartbeat->id.text() }, { "service", heartbeat->service.text() } });
+        } else {
+            const auto& leave = std::get<backend_leave>(call);
+            m_gateway->takeLeave(leave.id, leave.startedAt);
+        }
+        asio::post(m_control, [responder] { responder->respond(makeAnswer(200, "{}")); });
+    });
+}
+
+void proxy_node::answerReadiness(const handle<http_responder>& responder)
+{
+    bool isReady = !m_isStopping && m_controller.version() > 0;
+    responder->respond(makeAnswer(isReady ? 200 : 503, ""));
+}
+
+void proxy_node::published()
+{
+    m_metrics.setConfigurationVersion(m_controller.version());
+    auto snapshot = m_controller.snapshot();
+    m_metrics.setKnownNodes(snapshot->nodes.size());
+    m_log.write(event_weight::always, "view_changed", {},
+        { { "version", m_controller.version() }, { "position", m_controller.operators().position },
+            { "nodes", snapshot->nodes.size() }, { "evacuated", snapshot->evacuated.size() } });
+    std::set<std::string> endpoints;
+    for (const auto& each : snapshot->nodes)
+        endpoints.insert(each.endpoint);
+    for (const auto& each : m_workers)
+        asio::post(each->context, [raw = each.get(), endpoints] { raw->forwarder.retain(endpoints); });
+    if (!m_workers.empty())
+        asio::post(m_workers.front()->context, [this] { m_gateway->refresh(); });
+}
+
+void proxy_node::waitForSignals(std::function<std::optional<proxy_settings>()> reload)
+{
+    m_signals.async_wait([this, reload = std::move(reload)](std::error_code error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            m_log.write(event_weight::always, "reloading", {}, { { "cause", "signal" } });
+            m_reloadTimer.cancel();
+            reloadLater(reload);
+            waitForSignals(reload);
+            return;
+        }
+        stop();
+    });
+}
+
+void proxy_node::reloadLater(std::function<std::optional<proxy_settings>()> reload)
+{
+    if (auto settings = reload())
+        m_loop->setSeeds(settings->seeds);
+    m_reloadTimer.expires_after(reloadInterval);
+    m_reloadTimer.async_wait([this, reload = std::move(reload)](std::error_code error) {
+        if (!error)
+            reloadLater(reload);
+    });
+}
+
+void proxy_node::stop()
+{
+    m_log.write(event_weight::always, "stopping", {},
+        { { "requests", m_callers->pendingCount() }, { "grace", m_settings.grace } });
+    m_isStopping = true;
+    m_stopStartedAt = m_clock().monotonic;
+    m_callers->startDraining();
+    m_loop->leave([] {});
+    stopWhenIdle();
+}
+
+void proxy_node::stopWhenIdle()
+{
+    auto passed = m_clock().monotonic - m_stopStartedAt;
+    if (!m_isGatewayLeaving && passed >= gatewayLeaveDelay) {
+        m_isGatewayLeaving = true;
+        asio::post(m_workers.front()->context, [this] { m_gateway->startLeaving(); });
+    }
+    bool isIdle = m_callers->pendingCount() == 0 && m_gateway->activeCount() == 0;
+    bool isOver = passed >= m_settings.grace - graceMargin;
+    if ((isIdle && passed >= shortestStop) || isOver) {
+        for (const auto& each : m_workers)
+            each->context.stop();
+        m_control.stop();
+        return;
+    }
+    m_stopTimer.expires_after(stopCheckInterval);
+    m_stopTimer.async_wait([this](std::error_code error) {
+        if (!error)
+            stopWhenIdle();
+    });
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/proxy_settings.cpp
@@ -0,0 +1,60 @@
+#include "proxy_settings.h"
+
+#include "peer_forwarder.h"
+
+namespace pomelohub {
+
+namespace {
+
+    constexpr number_range threadRange { 1, 64 };
+    constexpr number_range descriptorRange { 64, 1'000'000 };
+    constexpr number_range graceRange { 0.5, 3600 };
+
+    std::string readEndpoint(checked_object& object, const std::string& name, bool isRequired = true)
+    {
+        auto text = object.text(name, isRequired);
+        if (!text.empty() && !endpointFromText(text))
+            object.fail(name, "must be an IPv4 address and a port, such as 127.0.0.1:8080");
+        return text;
+    }
+
+    void readListen(checked_object object, proxy_settings& settings)
+    {
+        settings.callersEndpoint = readEndpoint(object, "callers");
+        settings.peersEndpoint = readEndpoint(object, "peers");
+        settings.backendCallsEndpoint = readEndpoint(object, "backend_calls");
+        settings.readinessEndpoint = readEndpoint(object, "readiness");
+        settings.metricsEndpoint = readEndpoint(object, "metrics", false);
+        object.rejectUnknown();
+    }
+
+} // namespace
+
+proxy_settings readProxySettings(const std::string& text, std::vector<field_error>& errors)
+{
+    // Connections of callers get half of the descriptors; links, backend connections and files the rest.
+    constexpr std::size_t callerShareOfDescriptors = 2;
+    auto document = checked_document::parse(text);
+    proxy_settings settings;
+    if (document.isValid()) {
+        checked_object root(document, document.root(), "");
+        settings.node = node_id(root.text("node"));
+        settings.dataCentre = data_centre_id(root.text("data_centre"));
+        settings.service = service_id(root.text("service"));
+        readListen(root.object("listen"), settings);
+        settings.backendEndpoint = readEndpoint(root, "backend_server");
+        settings.storeEndpoint = readEndpoint(root, "store");
+        settings.seeds = root.texts("seeds", false);
+        settings.isFirstStart = root.boolean("first_start", false);
+        settings.threads = static_cast<std::uint32_t>(root.integer("threads", threadRange, 1));
+        auto descriptors = static_cast<std::size_t>(root.integer("descriptors", descriptorRange, 4096));
+        settings.maxConnections = descriptors / callerShareOfDescriptors;
+        settings.grace = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(root.number("grace_s", graceRange, 6)));
+        root.rejectUnknown();
+    }
+    errors.insert(errors.end(), document.errors().begin(), document.errors().end());
+    return settings;
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/request_entry.cpp
@@ -0,0 +1,466 @@
+#include "request_entry.h"
+
+#include <algorithm>
+
+namespace pomelohub {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr int firstServerError = 500;
+    /** Assumed for callers that do not say how long they wait. */
+    constexpr duration defaultTimeLimit = std::chrono::seconds(30);
+    constexpr int notRunStatus = 503;
+
+    /** The status that promises no more than the outcome: only refusals of requests that have not run and
+     * never will are told as such. */
+    int statusFor(const verdict& refusal)
+    {
+        auto status = httpStatus(refusal.reason);
+        if (refusal.outcome == execution::mayHaveRun)
+            return refusal.reason == refusal_reason::deadlineExceeded ? 504 : 502;
+        return status >= firstServerError ? notRunStatus : status;
+    }
+
+} // namespace
+
+/** One request of a caller until its answer. */
+class exchange : public counted<exchange> {
+public:
+    exchange(request_entry& entry, handle<http_responder> responder)
+        : m_entry(entry)
+        , m_responder(std::move(responder))
+        , m_timer(entry.m_context)
+    {
+    }
+
+    void begin(http_message&& message)
+    {
+        m_context.message = std::move(message);
+        m_responder->cancelled = [self = handle<exchange>(this)] { self->abandon(); };
+        auto now = m_entry.m_hooks.clock();
+        auto caller = m_entry.m_dialect.readCallerRequest(m_context.message);
+        if (!caller) {
+            refuse(caller.error(), "request");
+            return;
+        }
+        m_context.caller = std::move(*caller);
+        m_context.snapshot = m_entry.m_hooks.snapshot();
+        std::string_view filter;
+        if (auto passed = m_entry.m_chain.run(m_context, now, filter); !passed) {
+            refuse(passed.error(), filter);
+            return;
+        }
+        startTimer(now.monotonic);
+        m_service = m_context.rule->nextService();
+        takeAllowance(now.monotonic);
+    }
+
+private:
+    struct attempt {
+        handle<peer_state> peer;
+        handle<forward_ticket> ticket;
+        instant startedAt {};
+    };
+
+    instant now() const { return m_entry.m_hooks.clock().monotonic; }
+    const request_id& id() const { return m_context.caller.id; }
+    bool isIdempotent() const { return m_context.rule->repeats == repeat_rule::idempotent; }
+
+    void startTimer(instant present)
+    {
+        auto received = m_responder->receivedAt();
+        auto limit = m_context.caller.timeLimit.value_or(defaultTimeLimit);
+        m_deadline = received + limit - std::min<duration>(m_entry.m_policy.answerMargin, limit / 10);
+        if (m_context.rule->timeout > duration::zero())
+            m_deadline = std::min(m_deadline, received + m_context.rule->timeout);
+        watch(present);
+    }
+
+    void watch(instant present)
+    {
+        m_timer.expires_at(std::min(m_deadline, present + m_entry.m_policy.watchInterval));
+        m_timer.async_wait([self = handle<exchange>(this)](std::error_code error) {
+            if (error || self->m_isDone)
+                return;
+            auto present = self->now();
+            if (present >= self->m_deadline) {
+                self->expire();
+                return;
+            }
+            self->lookAfterAttempts(present);
+            if (!self->m_isDone)
+                self->watch(present);
+        });
+    }
+
+    void expire()
+    {
+        bool mayHaveRun = m_mayHaveRun
+            || std::any_of(m_attempts.begin(), m_attempts.end(),
+                [](const attempt& each) { return each.ticket->isCommitted(); });
+        if (m_fallback) {
+            answer(std::move(*m_fallback));
+            return;
+        }
+        refuse({ mayHaveRun ? execution::mayHaveRun : execution::notRun, refusal_reason::deadlineExceeded,
+                   "no answer within the time limit", {} },
+            "deadline");
+    }
+
+    // Offers on a silent way are taken back, and requests that may run twice get a second chance.
+    void lookAfterAttempts(instant present)
+    {
+        std::vector<handle<forward_ticket>> withdrawn;
+        bool needsHedge = false;
+        for (const auto& each : m_attempts) {
+            if (each.ticket->isSilent() && !each.ticket->isCommitted())
+                withdrawn.push_back(each.ticket);
+            auto patience = std::max<duration>(std::chrono::duration_cast<duration>(m_context.rule->objective
+                                                   * m_entry.m_policy.hedgeObjectiveShare),
+                std::chrono::duration_cast<duration>(
+                    each.peer->estimatedAnswer(present) * m_entry.m_policy.hedgeLatencyFactor));
+            needsHedge = needsHedge || each.ticket->isSilent() || present - each.startedAt > patience;
+        }
+        for (const auto& ticket : withdrawn) {
+            ticket->cancel();
+            --m_reached;
+            std::erase_if(m_attempts, [&](const attempt& each) { return each.ticket == ticket; });
+        }
+        if (m_attempts.empty() && !m_isAsking) {
+            sendNext(present);
+            return;
+        }
+        if (needsHedge && isIdempotent() && m_attempts.size() == 1 && mayReachAnother()
+            && m_entry.m_budget.tryTake())
+            hedge(present);
+    }
+
+    void hedge(instant present)
+    {
+        auto peer = choose(present, false);
+        if (!peer)
+            return;
+        m_entry.m_log.write(event_weight::failure, "hedged", id(),
+            { { "first", m_attempts.front().peer->announcement.node.text() },
+                { "second", peer->announcement.node.text() },
+                { "waited", present - m_attempts.front().startedAt } });
+        m_entry.m_metrics.noteHedge();
+        send(peer, present, m_entry.m_policy.firstPatience);
+    }
+
+    void takeAllowance(instant present)
+    {
+        const auto& limits = m_context.organisation;
+        if (!limits || limits->tokensPerSecond <= 0) {
+            firstSend(present);
+            return;
+        }
+        switch (m_entry.m_wallet.take(*limits, present)) {
+        case wallet_answer::taken:
+            firstSend(present);
+            return;
+        case wallet_answer::denied:
+            refuseRate(m_entry.m_wallet.retryAfter(limits->id, present));
+            return;
+        case wallet_answer::ask:
+            break;
+        }
+        m_isAsking = true;
+        m_entry.m_hooks.askAllowance(limits, m_entry.m_wallet.wanted(*limits, present),
+            m_entry.m_policy.allowanceTimeout,
+            [self = handle<exchange>(this), present](std::optional<allowance_grant> grant) {
+                self->m_isAsking = false;
+                self->takeGrant(grant, present);
+            });
+    }
+
+    void takeGrant(const std::optional<allowance_grant>& grant, instant askedAt)
+    {
+        const auto& limits = *m_context.organisation;
+        auto present = now();
+        auto& wallet = m_entry.m_wallet;
+        if (grant && grant->tokens > 0) {
+            auto rest = *grant;
+            // The first token is for this request, unless its caller has left.
+            if (!m_isDone)
+                --rest.tokens;
+            if (rest.tokens > 0)
+                wallet.add(limits.id, rest, askedAt, present);
+            if (!m_isDone)
+                firstSend(present);
+            return;
+        }
+        if (m_isDone)
+            return;
+        if (grant) {
+            wallet.add(limits.id, *grant, askedAt, present);
+            refuseRate(grant->retryAfter);
+            return;
+        }
+        if (wallet.takeShare(limits, m_context.snapshot->nodes.size(), present))
+            firstSend(present);
+        else
+            refuseRate(m_entry.m_policy.shortestRetryAfter);
+    }
+
+    void refuseRate(duration retryAfter)
+    {
+        refuse({ execution::notRun, refusal_reason::rateExceeded, "the organisation is at its rate",
+                   std::chrono::ceil<milliseconds>(retryAfter) },
+            "allowance");
+    }
+
+    void firstSend(instant present)
+    {
+        m_entry.m_budget.noteRequest();
+        sendNext(present);
+    }
+
+    bool mayReachAnother() const { return m_reached < m_context.rule->maxAttempts; }
+
+    handle<peer_state> choose(instant present, bool includeAvoided)
+    {
+        // Peers change while a request waits, so the present view is read.
+        auto snapshot = m_entry.m_hooks.snapshot();
+        auto found = snapshot->services.find(m_service);
+        if (found == snapshot->services.end())
+            return nullptr;
+        return choosePeer(found->second, snapshot->evacuated,
+            { m_entry.m_dataCentre, m_tried, includeAvoided }, m_entry.m_policy.choice,
+            m_entry.m_hooks.random, present);
+    }
+
+    void sendNext(instant present)
+    {
+        if (m_freeRefusals < m_entry.m_policy.freeRefusals) {
+            auto peer = choose(present, m_isLastResort);
+            if (!peer && !m_isLastResort) {
+                // Everyone refused: now suspect servers and long waits are better than nothing.
+                m_isLastResort = true;
+                m_tried = m_reachedNodes;
+                peer = choose(present, true);
+            }
+            if (peer) {
+                auto left = m_deadline - present;
+                send(peer, present, m_isLastResort ? left : std::min(left, m_entry.m_policy.firstPatience));
+                return;
+            }
+        }
+        if (m_fallback) {
+            answer(std::move(*m_fallback));
+            return;
+        }
+        auto refusal = m_lastRefusal.value_or(verdict { execution::notRun, refusal_reason::noBackendServer,
+            "no backend server of " + m_service.text() + " is known", {} });
+        if (m_mayHaveRun)
+            refusal.outcome = execution::mayHaveRun;
+        refusal.retryAfter = std::max<milliseconds>(
+            refusal.retryAfter, std::chrono::ceil<milliseconds>(m_entry.m_policy.shortestRetryAfter));
+        refuse(refusal, "choice");
+    }
+
+    void send(const handle<peer_state>& peer, instant present, duration patience)
+    {
+        forwarded_request request;
+        request.id = id();
+        request.service = m_service;
+        request.callerService = m_entry.m_ownService;
+        if (m_context.organisation)
+            request.organisation = m_context.organisation->id;
+        request.rank = rank();
+        request.repeats = m_context.rule->repeats;
+        request.isNested = !m_context.organisation && m_context.snapshot->routes->hasOrganisations();
+        request.acceptsSuspect = m_isLastResort;
+        request.timeLeft = m_deadline - present;
+        request.patience = patience;
+        request.fingerprint = m_context.fingerprint;
+        request.message = m_context.message;
+        m_tried.push_back(peer->announcement.node);
+        ++m_reached;
+        ++m_sent;
+        m_entry.m_log.write(event_weight::routine, "sent", id(),
+            { { "peer", peer->announcement.node.text() }, { "service", m_service.text() },
+                { "configuration", m_context.snapshot->routes->version }, { "attempt", m_sent },
+                { "estimate", peer->estimatedAnswer(present) }, { "last_resort", m_isLastResort } });
+        auto ticket = m_entry.m_forwarder.forward(
+            peer, request, [self = handle<exchange>(this), peer](forward_reply reply) {
+                self->takeReply(peer, std::move(reply));
+            });
+        m_attempts.push_back({ peer, ticket, present });
+    }
+
+    std::uint32_t rank() const
+    {
+        const auto& organisation = m_context.organisation;
+        return organisation && organisation->rank ? *organisation->rank : m_context.rule->rank;
+    }
+
+    void takeReply(const handle<peer_state>& peer, forward_reply reply)
+    {
+        if (m_isDone)
+            return;
+        auto present = now();
+        std::erase_if(m_attempts, [&](const attempt& each) { return each.peer == peer; });
+        if (reply.report.slots > 0)
+            peer->note(reply.report, present);
+        if (reply.avoidFor > duration::zero())
+            peer->avoidUntil(present + reply.avoidFor);
+        if (reply.reachedBackend)
+            m_reachedNodes.push_back(peer->announcement.node);
+        else
+            --m_reached;
+        if (reply.answer)
+            takeAnswer(std::move(*reply.answer), present);
+        else
+            takeRefusal(*peer, reply.answer.error(), reply.reachedBackend, present);
+    }
+
+    void takeAnswer(http_message&& message, instant present)
+    {
+        bool isFailure = message.status >= firstServerError;
+        if (!isFailure || !isIdempotent() || !retryAfterArrival("answered_with_failure")) {
+            answer(std::move(message));
+            return;
+        }
+        m_fallback = std::move(message);
+        if (m_attempts.empty())
+            sendNext(present);
+    }
+
+    /** Whether another backend server may get the request although one had it. */
+    bool retryAfterArrival(std::string_view cause)
+    {
+        if (!m_attempts.empty())
+            return true; // A second attempt is under way already.
+        if (!mayReachAnother() || !m_entry.m_budget.tryTake())
+            return false;
+        m_entry.m_log.write(event_weight::failure, "retried", id(), { { "cause", cause } });
+        m_entry.m_metrics.noteRetry();
+        return true;
+    }
+
+    void takeRefusal(const peer_state& peer, const verdict& refusal, bool reached, instant present)
+    {
+        m_entry.m_log.write(event_weight::failure, "attempt_failed", id(),
+            { { "peer", peer.announcement.node.text() }, { "reason", toText(refusal.reason) },
+                { "outcome", toText(refusal.outcome) }, { "detail", refusal.detail },
+                { "reached", reached } });
+        m_entry.m_metrics.noteAttemptFailure(refusal.reason);
+        if (!reached)
+            ++m_freeRefusals;
+        bool mayHaveRun = refusal.outcome == execution::mayHaveRun;
+        m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+        m_lastRefusal = refusal;
+        bool isForbidden = mayHaveRun && !isIdempotent();
+        if (isForbidden || (reached && !retryAfterArrival(toText(refusal.reason)))) {
+            if (!m_attempts.empty())
+                return;
+            if (m_fallback)
+                answer(std::move(*m_fallback));
+            else
+                refuse(refusal, "attempt");
+            return;
+        }
+        if (m_attempts.empty())
+            sendNext(present);
+    }
+
+    void answer(http_message&& message)
+    {
+        auto present = now();
+        auto took = present - m_responder->receivedAt();
+        m_entry.m_log.write(
+            message.status >= firstServerError ? event_weight::failure : event_weight::routine, "answered",
+            id(),
+            { { "status", message.status }, { "took", took }, { "attempts", m_sent },
+                { "route", m_context.rule->name } });
+        m_entry.m_metrics.noteAnswer(message.status, took);
+        end();
+        m_responder->respond(std::move(message));
+    }
+
+    void refuse(verdict refusal, std::string_view filter)
+    {
+        auto status = statusFor(refusal);
+        auto took = now() - m_responder->receivedAt();
+        m_entry.m_log.write(event_weight::failure, "refused", id(),
+            { { "status", status }, { "by", filter }, { "reason", toText(refusal.reason) },
+                { "outcome", toText(refusal.outcome) }, { "detail", refusal.detail }, { "took", took },
+                { "attempts", m_sent },
+                { "configuration",
+                    m_context.snapshot && m_context.snapshot->routes ? m_context.snapshot->routes->version
+                                                                     : 0 },
+                { "retry_after", refusal.retryAfter } });
+        m_entry.m_metrics.noteRefusal(refusal.reason, status);
+        end();
+        m_responder->respond(m_entry.m_dialect.makeRefusal(refusal, status));
+    }
+
+    void abandon()
+    {
+        if (m_isDone)
+            return;
+        m_entry.m_log.write(event_weight::failure, "caller_left", id(),
+            { { "after", now() - m_responder->receivedAt() }, { "attempts", m_sent } });
+        m_entry.m_metrics.noteCallerLeft();
+        end();
+    }
+
+    void end()
+    {
+        m_isDone = true;
+        m_timer.cancel();
+        auto attempts = std::move(m_attempts);
+        m_attempts.clear();
+        for (const auto& each : attempts)
+            each.ticket->cancel();
+    }
+
+    request_entry& m_entry;
+    handle<http_responder> m_responder;
+    asio::steady_timer m_timer;
+    entry_context m_context;
+    service_id m_service;
+    instant m_deadline {};
+    std::vector<attempt> m_attempts;
+    std::vector<node_id> m_tried;
+    std::vector<node_id> m_reachedNodes; ///< Their backend servers had the request.
+    std::optional<http_message> m_fallback; ///< A failure that is passed on if no attempt does better.
+    std::optional<verdict> m_lastRefusal;
+    std::uint32_t m_reached = 0; ///< Backend servers that had or may get the request.
+    std::uint32_t m_sent = 0;
+    std::uint32_t m_freeRefusals = 0;
+    bool m_isLastResort = false;
+    bool m_isAsking = false;
+    bool m_mayHaveRun = false;
+    bool m_isDone = false;
+};
+
+request_entry::request_entry(asio::io_context& context, node_id self, service_id ownService,
+    data_centre_id dataCentre, const dialect& dialect, const crash_quarantine& quarantine,
+    peer_forwarder& forwarder, entry_policy policy, event_log& log, proxy_metrics& metrics, hooks hooks)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_ownService(std::move(ownService))
+    , m_dataCentre(std::move(dataCentre))
+    , m_dialect(dialect)
+    , m_forwarder(forwarder)
+    , m_policy(policy)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_hooks(std::move(hooks))
+    , m_chain(makeEntryChain(quarantine))
+    , m_wallet({})
+    , m_budget(policy.retryPercent, policy.retryReserve)
+{
+}
+
+void request_entry::serve(http_message&& message, handle<http_responder> responder)
+{
+    handle<exchange> served(new exchange(*this, std::move(responder)));
+    served->begin(std::move(message));
+}
+
+} // namespace pomelohub
