Take farewells of backend servers that do not say when they started

Cause: a farewell without a start time counted as one of a former start, so the node acknowledged it and went on sending. A test of backend_identity shows it.

--- a/packages/decisions/src/backend_identity.cpp
+++ b/packages/decisions/src/backend_identity.cpp
@@ -1,5 +1,7 @@
 #include "backend_identity.h"
 
+#include <algorithm>
+
 namespace pomelohub {
 
 heartbeat_effect backend_identity::take(const backend_heartbeat& heartbeat, instant now)
@@ -24,9 +26,10 @@
 
 bool backend_identity::leave(const backend_server_id& id, wall_time startedAt)
 {
-    if (startedAt < m_newestStart)
+    bool isStartKnown = startedAt != wall_time {};
+    if (isStartKnown && startedAt < m_newestStart)
         return false;
-    if (m_current && m_current->id != id && startedAt == wall_time {})
+    if (!isStartKnown && m_current && m_current->id != id)
         return false;
     if (!m_current || m_current->id != id) {
         m_current.emplace();
--- a/packages/decisions/src/backend_identity.h
+++ b/packages/decisions/src/backend_identity.h
@@ -34,7 +34,8 @@
 public:
     heartbeat_effect take(const backend_heartbeat& heartbeat, instant now);
 
-    /** The backend server said that it leaves. \return whether it is the present one. */
+    /** The backend server said that it leaves. \param startedAt is zero where it did not say when it started.
+     * \return whether it is the present one. */
     bool leave(const backend_server_id& id, wall_time startedAt);
 
     /** An answer or a probe came from another id than the known one: nothing is known until it announces
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -368,7 +368,9 @@
                     { { "backend", heartbeat->id.text() }, { "service", heartbeat->service.text() } });
         } else {
             const auto& leave = std::get<backend_leave>(call);
-            m_gateway->takeLeave(leave.id, leave.startedAt);
+            if (!m_gateway->takeLeave(leave.id, leave.startedAt))
+                m_log.write(event_weight::failure, "farewell_of_other_start", {},
+                    { { "backend", leave.id.text() } });
         }
         asio::post(m_control, [responder] { responder->respond(makeAnswer(200, "{}")); });
     });
--- /dev/null
+++ b/test/proxy/backend_identity.cpp
@@ -0,0 +1,91 @@
+/** \file
+ * Which start of a backend server its node believes in, whatever order its calls arrive in.
+ */
+#include "backend_identity.h"
+
+#include <doctest/doctest.h>
+
+using namespace pomelohub;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant start { 100s };
+
+backend_heartbeat heartbeatOf(const char* id, std::chrono::milliseconds startedAt, std::uint64_t sequence)
+{
+    backend_heartbeat heartbeat;
+    heartbeat.id = backend_server_id(id);
+    heartbeat.slots = 5;
+    heartbeat.startedAt = wall_time(startedAt);
+    heartbeat.sequence = sequence;
+    return heartbeat;
+}
+
+} // namespace
+
+TEST_CASE("A backend server that leaves without saying when it started takes no new work")
+{
+    backend_identity identity;
+    identity.take(heartbeatOf("a", 5000ms, 1), start);
+    REQUIRE(identity.isAccepting());
+    CHECK(identity.leave(backend_server_id("a"), {}));
+    CHECK_FALSE(identity.isAccepting());
+    CHECK(identity.isLeaving());
+    SUBCASE("also when a heartbeat of the same start comes after it")
+    {
+        identity.take(heartbeatOf("a", 5000ms, 2), start + 1s);
+        CHECK_FALSE(identity.isAccepting());
+    }
+    SUBCASE("until its next start")
+    {
+        identity.take(heartbeatOf("a", 9000ms, 1), start + 1s);
+        CHECK(identity.isAccepting());
+    }
+}
+
+TEST_CASE("A farewell of a former start does not touch the present one")
+{
+    backend_identity identity;
+    identity.take(heartbeatOf("a", 5000ms, 1), start);
+    identity.take(heartbeatOf("b", 9000ms, 1), start + 1s);
+    CHECK_FALSE(identity.leave(backend_server_id("a"), wall_time(5000ms)));
+    CHECK_FALSE(identity.leave(backend_server_id("a"), {}));
+    CHECK(identity.isAccepting());
+}
+
+TEST_CASE("A late heartbeat of a former start is stale")
+{
+    backend_identity identity;
+    identity.take(heartbeatOf("b", 9000ms, 1), start);
+    CHECK(identity.take(heartbeatOf("a", 5000ms, 7), start + 1s) == heartbeat_effect::stale);
+    CHECK(identity.current().id == backend_server_id("b"));
+    SUBCASE("also under the same id")
+    {
+        CHECK(identity.take(heartbeatOf("b", 5000ms, 7), start + 1s) == heartbeat_effect::stale);
+        CHECK(identity.current().sequence == 1);
+    }
+}
+
+TEST_CASE("Draining is not taken back by a heartbeat that was delayed")
+{
+    backend_identity identity;
+    auto draining = heartbeatOf("a", 5000ms, 3);
+    draining.isDraining = true;
+    identity.take(draining, start);
+    CHECK(identity.take(heartbeatOf("a", 5000ms, 2), start + 1s) == heartbeat_effect::stale);
+    CHECK(identity.isLeaving());
+    identity.take(heartbeatOf("a", 5000ms, 4), start + 2s);
+    CHECK(identity.isLeaving());
+}
+
+TEST_CASE("A server whose address another one has taken is not used until it announces itself")
+{
+    backend_identity identity;
+    identity.take(heartbeatOf("a", 5000ms, 1), start);
+    identity.forget();
+    CHECK_FALSE(identity.isAccepting());
+    CHECK(identity.take(heartbeatOf("old", 4000ms, 1), start) == heartbeat_effect::stale);
+    identity.take(heartbeatOf("c", 9000ms, 1), start);
+    CHECK(identity.isAccepting());
+}
