Tell a late heartbeat of a server that has left from its next start after a restart of the node

Cause: a node that restarted between the last heartbeat of a server and its farewell knew no start of it; the late heartbeat then counted as a new start, and requests went to a server that was leaving.

--- a/packages/decisions/src/backend_identity.cpp
+++ b/packages/decisions/src/backend_identity.cpp
@@ -4,27 +4,37 @@
 
 namespace pomelohub {
 
+bool backend_identity::isSameStart(const backend_heartbeat& heartbeat) const
+{
+    // A new start counts its heartbeats anew, which tells it from a late one where the wall clock was wrong.
+    constexpr std::uint64_t firstSequence = 1;
+    if (!m_current || m_current->id != heartbeat.id)
+        return false;
+    if (m_hasLeft && m_current->startedAt == wall_time {})
+        return heartbeat.startedAt <= m_leftAt && heartbeat.sequence > firstSequence;
+    return m_current->startedAt == heartbeat.startedAt;
+}
+
 heartbeat_effect backend_identity::take(const backend_heartbeat& heartbeat, instant now)
 {
     if (heartbeat.startedAt < m_newestStart)
         return heartbeat_effect::stale;
-    bool isSameStart
-        = m_current && m_current->id == heartbeat.id && m_current->startedAt == heartbeat.startedAt;
-    if (isSameStart && heartbeat.sequence <= m_current->sequence)
+    bool isSame = isSameStart(heartbeat);
+    if (isSame && heartbeat.sequence <= m_current->sequence)
         return heartbeat_effect::stale;
-    if (!isSameStart)
+    if (!isSame)
         m_hasLeft = false;
     auto next = heartbeat;
     // A backend server that began to drain never takes that back in the same start.
-    if (isSameStart && m_current->isDraining)
+    if (isSame && m_current->isDraining)
         next.isDraining = true;
     m_current = next;
     m_newestStart = heartbeat.startedAt;
     m_coldUntil = now + heartbeat.coldFor;
-    return isSameStart ? heartbeat_effect::accepted : heartbeat_effect::newStart;
+    return isSame ? heartbeat_effect::accepted : heartbeat_effect::newStart;
 }
 
-bool backend_identity::leave(const backend_server_id& id, wall_time startedAt)
+bool backend_identity::leave(const backend_server_id& id, wall_time startedAt, wall_time now)
 {
     bool isStartKnown = startedAt != wall_time {};
     if (isStartKnown && startedAt < m_newestStart)
@@ -38,6 +48,7 @@
     }
     m_newestStart = std::max(m_newestStart, startedAt);
     m_hasLeft = true;
+    m_leftAt = now;
     return true;
 }
 
--- a/packages/decisions/src/backend_identity.h
+++ b/packages/decisions/src/backend_identity.h
@@ -36,7 +36,7 @@
 
     /** The backend server said that it leaves. \param startedAt is zero where it did not say when it started.
      * \return whether it is the present one. */
-    bool leave(const backend_server_id& id, wall_time startedAt);
+    bool leave(const backend_server_id& id, wall_time startedAt, wall_time now);
 
     /** An answer or a probe came from another id than the known one: nothing is known until it announces
      * itself. */
@@ -56,9 +56,12 @@
     void setColdUntil(instant until) { m_coldUntil = until; }
 
 private:
+    bool isSameStart(const backend_heartbeat& heartbeat) const;
+
     std::optional<backend_heartbeat> m_current;
     wall_time m_newestStart {}; ///< Also after forget(), so that late news of older starts stay out.
     bool m_hasLeft = false;
+    wall_time m_leftAt {}; ///< Of a farewell that did not tell its start.
     instant m_coldUntil {};
 };
 
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -359,11 +359,12 @@
 
 bool backend_gateway::takeLeave(const backend_server_id& id, wall_time startedAt)
 {
-    auto now = m_hooks.clock().monotonic;
-    if (!m_identity.leave(id, startedAt))
+    auto present = m_hooks.clock();
+    if (!m_identity.leave(id, startedAt, present.wall))
         return false;
     m_log.write(event_weight::always, "backend_left", {}, { { "backend", id.text() } });
-    m_queue.refuseAll(refusal(refusal_reason::backendServerDraining, "the backend server leaves"), now);
+    m_queue.refuseAll(
+        refusal(refusal_reason::backendServerDraining, "the backend server leaves"), present.monotonic);
     return true;
 }
 
--- a/packages/proxy/src/event_log.cpp
+++ b/packages/proxy/src/event_log.cpp
@@ -4,8 +4,8 @@
 
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
-#include <spdlog/spdlog.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
 
 namespace pomelohub {
 
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -369,8 +369,8 @@
         } else {
             const auto& leave = std::get<backend_leave>(call);
             if (!m_gateway->takeLeave(leave.id, leave.startedAt))
-                m_log.write(event_weight::failure, "farewell_of_other_start", {},
-                    { { "backend", leave.id.text() } });
+                m_log.write(
+                    event_weight::failure, "farewell_of_other_start", {}, { { "backend", leave.id.text() } });
         }
         asio::post(m_control, [responder] { responder->respond(makeAnswer(200, "{}")); });
     });
--- a/test/proxy/backend_identity.cpp
+++ b/test/proxy/backend_identity.cpp
@@ -29,7 +29,7 @@
     backend_identity identity;
     identity.take(heartbeatOf("a", 5000ms, 1), start);
     REQUIRE(identity.isAccepting());
-    CHECK(identity.leave(backend_server_id("a"), {}));
+    CHECK(identity.leave(backend_server_id("a"), {}, wall_time(8000ms)));
     CHECK_FALSE(identity.isAccepting());
     CHECK(identity.isLeaving());
     SUBCASE("also when a heartbeat of the same start comes after it")
@@ -44,13 +44,32 @@
     }
 }
 
+TEST_CASE("A node that started after the last heartbeat of a leaving server does not take its late heartbeat "
+          "for a start")
+{
+    backend_identity identity;
+    CHECK(identity.leave(backend_server_id("a"), {}, wall_time(8000ms)));
+    CHECK(identity.take(heartbeatOf("a", 5000ms, 7), start + 2s) == heartbeat_effect::accepted);
+    CHECK(identity.isLeaving());
+    SUBCASE("and takes its next start")
+    {
+        CHECK(identity.take(heartbeatOf("a", 9000ms, 1), start + 3s) == heartbeat_effect::newStart);
+        CHECK(identity.isAccepting());
+    }
+    SUBCASE("and takes its next start when the wall clock was ahead at the farewell")
+    {
+        CHECK(identity.take(heartbeatOf("a", 7000ms, 1), start + 3s) == heartbeat_effect::newStart);
+        CHECK(identity.isAccepting());
+    }
+}
+
 TEST_CASE("A farewell of a former start does not touch the present one")
 {
     backend_identity identity;
     identity.take(heartbeatOf("a", 5000ms, 1), start);
     identity.take(heartbeatOf("b", 9000ms, 1), start + 1s);
-    CHECK_FALSE(identity.leave(backend_server_id("a"), wall_time(5000ms)));
-    CHECK_FALSE(identity.leave(backend_server_id("a"), {}));
+    CHECK_FALSE(identity.leave(backend_server_id("a"), wall_time(5000ms), wall_time(10'000ms)));
+    CHECK_FALSE(identity.leave(backend_server_id("a"), {}, wall_time(8000ms)));
     CHECK(identity.isAccepting());
 }
 
