Divide the agreed repeats by service among the nodes; send once-only requests to few proven servers

Cause: the budget of repeats was one for all services and its reserve never came back, so nested calls failed without a second try; and servers that had recovered stayed suspect for up to 20 s, since few repeatable requests reached them.

--- a/packages/decisions/src/fleet_controller.cpp
+++ b/packages/decisions/src/fleet_controller.cpp
@@ -1,5 +1,9 @@
 #include "fleet_controller.h"
 
+#include "hashing.h"
+
+#include <algorithm>
+
 namespace pomelohub {
 
 fleet_controller::fleet_controller(hooks hooks)
@@ -91,6 +95,11 @@
         next->nodes.push_back({ announcement.node, announcement.endpoint });
         next->services[announcement.service].push_back(stateOf(announcement));
     }
+    for (auto& [service, peers] : next->services) {
+        std::sort(peers.begin(), peers.end(), [](const auto& left, const auto& right) {
+            return stableHash(left->announcement.node.text()) < stableHash(right->announcement.node.text());
+        });
+    }
     std::erase_if(m_peers, [&](const auto& entry) {
         const auto* known = m_announcements.find(entry.first);
         return !known || known->hasLeft;
--- a/packages/decisions/src/outcome_judge.cpp
+++ b/packages/decisions/src/outcome_judge.cpp
@@ -27,6 +27,8 @@
 bool outcome_judge::note(backend_outcome outcome, bool wasTrial, instant now)
 {
     m_failing = m_failing * m_policy.memory + weightOf(outcome) * (1 - m_policy.memory);
+    if (outcome != backend_outcome::served)
+        m_lastFailure = now;
     if (m_isSuspect) {
         if (outcome != backend_outcome::served) {
             m_servedTrials = 0;
--- a/packages/decisions/src/outcome_judge.h
+++ b/packages/decisions/src/outcome_judge.h
@@ -21,9 +21,10 @@
     double failedWeight = 0.6; ///< A server fails some requests by itself, so one proves little.
     double brokenWeight = 1.0;
     double suspectAbove = 0.27; ///< Estimated failing share that makes the server suspect.
-    duration trialInterval = std::chrono::milliseconds(250); ///< Between trials of a suspect server.
+    duration trialInterval = std::chrono::milliseconds(600); ///< Between trials of a suspect server.
     std::uint32_t trialsToClear = 2; ///< Trials served in a row that clear it.
     std::uint32_t mostTrialsToClear = 6; ///< Each relapse asks one more, up to this.
+    duration quietToClear = std::chrono::seconds(5); ///< Without a failure a suspect server gets any request.
     duration relapseWindow = std::chrono::seconds(10); ///< A suspicion within it counts as a relapse.
 };
 
@@ -40,6 +41,12 @@
     /** Whether a suspect server is due one more request that may be repeated elsewhere. Takes that turn. */
     bool takeTrial(instant now);
 
+    /** Whether the last failure is so long ago that a request that runs once may be the trial. */
+    bool isQuiet(instant now) const { return now - m_lastFailure > m_policy.quietToClear; }
+
+    /** When the next trial is due. */
+    instant nextTrial() const { return m_nextTrial; }
+
     /** Another start of the server: what was seen no longer counts. */
     void reset();
 
@@ -55,6 +62,7 @@
     std::uint32_t m_trialsToClear;
     instant m_suspectSince {};
     instant m_nextTrial {};
+    instant m_lastFailure {};
 };
 
 } // namespace pomelohub
--- a/packages/decisions/src/peer_state.cpp
+++ b/packages/decisions/src/peer_state.cpp
@@ -14,6 +14,8 @@
     /** Assumed before a peer has reported. */
     constexpr duration unknownLatency = std::chrono::milliseconds(200);
     constexpr std::uint32_t unknownSlots = 4;
+    /** Failures of servers that turn gray last seconds. */
+    constexpr duration suspicionLifetime = std::chrono::seconds(4);
 
 } // namespace
 
@@ -25,6 +27,25 @@
     m_slots.store(report.slots, std::memory_order_relaxed);
     m_meanLatency.store(report.meanLatency, std::memory_order_relaxed);
     m_reportedAt.store(now, std::memory_order_relaxed);
+    if (!report.isSuspect)
+        m_isSuspect.store(false, std::memory_order_relaxed);
+}
+
+void peer_state::noteSuspect(instant nextTrial, instant now)
+{
+    m_nextTrial.store(nextTrial, std::memory_order_relaxed);
+    m_suspectNotedAt.store(now, std::memory_order_relaxed);
+    m_isSuspect.store(true, std::memory_order_relaxed);
+}
+
+bool peer_state::isTrialDue(instant now) const
+{
+    return isSuspect() && now >= m_nextTrial.load(std::memory_order_relaxed);
+}
+
+bool peer_state::isSuspicionOld(instant now) const
+{
+    return now - m_suspectNotedAt.load(std::memory_order_relaxed) > suspicionLifetime;
 }
 
 void peer_state::avoidUntil(instant until)
--- a/packages/decisions/src/peer_state.h
+++ b/packages/decisions/src/peer_state.h
@@ -18,6 +18,7 @@
     std::uint32_t slots = 0;
     duration meanLatency {};
     bool isCold = false;
+    bool isSuspect = false; ///< Fails requests; only trials are welcome.
     bool operator==(const backend_report&) const = default;
 };
 
@@ -37,6 +38,17 @@
     void clearAvoidance() { m_avoidedUntil.store({}, std::memory_order_relaxed); }
     bool isAvoided(instant now) const { return now < m_avoidedUntil.load(std::memory_order_relaxed); }
 
+    /** The node beside it turned a request away because its backend server fails; a trial is welcome at
+     * \p nextTrial. */
+    void noteSuspect(instant nextTrial, instant now);
+    bool isSuspect() const { return m_isSuspect.load(std::memory_order_relaxed); }
+
+    /** Whether a request that may be repeated could show that the backend server has recovered. */
+    bool isTrialDue(instant now) const;
+
+    /** Whether the suspicion is so old that it says nothing about the present. */
+    bool isSuspicionOld(instant now) const;
+
     /** Estimated time until an answer to a request that is sent at \p now. */
     duration estimatedAnswer(instant now) const;
 
@@ -50,6 +62,9 @@
     std::atomic<duration> m_meanLatency { duration::zero() };
     std::atomic<instant> m_reportedAt { instant {} };
     std::atomic<instant> m_avoidedUntil { instant {} };
+    std::atomic<bool> m_isSuspect { false };
+    std::atomic<instant> m_nextTrial { instant {} };
+    std::atomic<instant> m_suspectNotedAt { instant {} };
 };
 
 /** Where a node is reached. */
@@ -61,6 +76,7 @@
 /** All that the path of a request reads, published as one value. */
 struct fleet_snapshot : counted<fleet_snapshot> {
     handle<const routing_table> routes;
+    /** In an order that is the same on all nodes. */
     std::unordered_map<service_id, std::vector<handle<peer_state>>> services;
     std::set<data_centre_id> evacuated;
     std::vector<fleet_node> nodes;
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -64,7 +64,8 @@
         return notRun(refusal_reason::noBackendServer, "the backend server has not announced itself");
     if (!m_judge.isSuspect())
         return {};
-    request.m_isTrial = request.request.repeats == repeat_rule::idempotent && m_judge.takeTrial(now);
+    bool mayTry = request.request.repeats == repeat_rule::idempotent || m_judge.isQuiet(now);
+    request.m_isTrial = mayTry && m_judge.takeTrial(now);
     if (request.m_isTrial || request.request.acceptsSuspect)
         return {};
     return notRun(refusal_reason::backendServerFailed, "the backend server fails requests");
@@ -397,7 +398,7 @@
 backend_report backend_gateway::report() const
 {
     return { m_queue.inUse(), static_cast<std::uint32_t>(m_queue.waiting()), m_queue.slots(),
-        m_queue.meanLatency(), m_identity.isCold(m_hooks.clock().monotonic) };
+        m_queue.meanLatency(), m_identity.isCold(m_hooks.clock().monotonic), m_judge.isSuspect() };
 }
 
 void backend_gateway::schedule()
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -112,8 +112,8 @@
         noteStore(all.has_value(), "read_announcements");
         if (all)
             m_controller.takeAnnouncements(*all);
-        m_listTimer.expires_after(m_listDelay);
-        m_listDelay = std::min<duration>(m_listDelay * 2, m_policy.longestListInterval);
+        m_listTimer.expires_after(
+            all ? std::exchange(m_listDelay, m_policy.listInterval) : m_policy.longestRetry);
         m_listTimer.async_wait([this](std::error_code error) {
             if (!error)
                 readAnnouncements();
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -16,14 +16,15 @@
 namespace pomelohub {
 
 struct control_policy {
-    duration followWait = std::chrono::seconds(10); ///< Longest wait of one call that follows the log.
+    duration followWait = std::chrono::seconds(25); ///< Longest wait of one call that follows the log.
     duration firstRetry = std::chrono::milliseconds(100); ///< After a call failed; doubles up to the next.
     duration longestRetry = std::chrono::seconds(1);
     duration gossipInterval = std::chrono::milliseconds(500);
     std::size_t gossipPeers = 2; ///< Asked in each interval; news reach n nodes in about log3(n) intervals.
     duration gossipTimeout = std::chrono::milliseconds(800);
-    duration firstListInterval = std::chrono::milliseconds(700); ///< Between reads of all announcements;
-    duration longestListInterval = std::chrono::seconds(30); ///< it doubles up to this.
+    duration firstListInterval
+        = std::chrono::milliseconds(1500); ///< After the first read of all announcements;
+    duration listInterval = std::chrono::seconds(60); ///< later ones only mend what news between nodes lost.
 };
 
 /** Thread safety: the thread of its execution context, but for the hooks named otherwise. */
--- a/packages/proxy/src/forward.cpp
+++ b/packages/proxy/src/forward.cpp
@@ -102,6 +102,7 @@
         { "slots", numberText(report.slots) },
         { "latency", timeText(report.meanLatency) },
         { "cold", report.isCold ? "1" : "0" },
+        { "suspect", report.isSuspect ? "1" : "0" },
     };
     if (reply.answer) {
         message.payload = answerText(*reply.answer, false, isHead);
@@ -125,6 +126,7 @@
     reply.report.slots = static_cast<std::uint32_t>(numberOf(message, "slots"));
     reply.report.meanLatency = timeOf(message, "latency");
     reply.report.isCold = message.value("cold") == "1";
+    reply.report.isSuspect = message.value("suspect") == "1";
     if (auto outcome = executionFromText(message.value("outcome"))) {
         auto reason = refusalReasonFromText(message.value("reason")).value_or(refusal_reason::pathFailed);
         auto retryAfter
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -148,6 +148,9 @@
     m_workers.push_back(std::move(firstContext));
     while (m_workers.size() < m_settings.threads)
         m_workers.push_back(std::make_unique<worker>(*this));
+    entry_policy entryPolicy;
+    entryPolicy.retries = m_settings.retries;
+    entryPolicy.threads = m_settings.threads;
     for (const auto& each : m_workers) {
         auto* asking = each.get();
         each->entry = std::make_unique<request_entry>(each->context, m_settings.node, m_settings.service,
--- a/packages/proxy/src/proxy_settings.cpp
+++ b/packages/proxy/src/proxy_settings.cpp
@@ -10,6 +10,15 @@
     constexpr number_range descriptorRange { 64, 1'000'000 };
     constexpr number_range graceRange { 0.5, 3600 };
 
+    constexpr number_range shareRange { 0, 1 };
+    constexpr number_range reserveRange { 0, 1e6 };
+    constexpr number_range windowRange { 0.1, 3600 };
+
+    duration secondsFrom(double seconds)
+    {
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    }
+
     std::string readEndpoint(checked_object& object, const std::string& name, bool isRequired = true)
     {
         auto text = object.text(name, isRequired);
@@ -28,6 +37,15 @@
         object.rejectUnknown();
     }
 
+    void readRetries(checked_object object, proxy_settings& settings)
+    {
+        auto& limits = settings.retries;
+        limits.share = object.number("share", shareRange, limits.share);
+        limits.reserve = object.number("reserve", reserveRange, limits.reserve);
+        limits.window = secondsFrom(object.number("window_s", windowRange, 10));
+        object.rejectUnknown();
+    }
+
 } // namespace
 
 proxy_settings readProxySettings(const std::string& text, std::vector<field_error>& errors)
@@ -49,8 +67,8 @@
         settings.threads = static_cast<std::uint32_t>(root.integer("threads", threadRange, 1));
         auto descriptors = static_cast<std::size_t>(root.integer("descriptors", descriptorRange, 4096));
         settings.maxConnections = descriptors / callerShareOfDescriptors;
-        settings.grace = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(root.number("grace_s", graceRange, 6)));
+        settings.grace = secondsFrom(root.number("grace_s", graceRange, 6));
+        readRetries(root.object("retries", false), settings);
         root.rejectUnknown();
     }
     errors.insert(errors.end(), document.errors().begin(), document.errors().end());
--- a/packages/proxy/src/proxy_settings.h
+++ b/packages/proxy/src/proxy_settings.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "checked_json.h"
-#include "core_types.h"
+#include "retry_allowance.h"
 
 namespace pomelohub {
 
@@ -23,6 +23,7 @@
     bool isFirstStart = false; ///< Of the whole fleet: no node can have granted anything before.
     std::uint32_t threads = 1; ///< That serve requests.
     std::size_t maxConnections = 3000; ///< Of callers.
+    retry_limits retries;
     duration grace {}; ///< From the order to stop until the process is killed.
 };
 
--- a/packages/proxy/src/request_entry.cpp
+++ b/packages/proxy/src/request_entry.cpp
@@ -132,8 +132,7 @@
             sendNext(present);
             return;
         }
-        if (needsHedge && isIdempotent() && m_attempts.size() == 1 && mayReachAnother()
-            && m_entry.m_budget.tryTake())
+        if (needsHedge && isIdempotent() && m_attempts.size() == 1 && mayReachAnother() && takeRetry(present))
             hedge(present);
     }
 
@@ -199,7 +198,7 @@
             refuseRate(grant->retryAfter);
             return;
         }
-        if (wallet.takeShare(limits, m_context.snapshot->nodes.size(), present))
+        if (wallet.takeShare(limits, nodeCount(), present))
             firstSend(present);
         else
             refuseRate(m_entry.m_policy.shortestRetryAfter);
@@ -214,10 +213,12 @@
 
     void firstSend(instant present)
     {
-        m_entry.m_budget.noteRequest();
+        m_entry.m_retries.noteRequest(m_service, nodeCount(), present);
         sendNext(present);
     }
 
+    std::size_t nodeCount() const { return m_context.snapshot->nodes.size(); }
+    bool takeRetry(instant present) { return m_entry.m_retries.tryTake(m_service, nodeCount(), present); }
     bool mayReachAnother() const { return m_reached < m_context.rule->maxAttempts; }
 
     handle<peer_state> choose(instant present, bool includeAvoided)
@@ -228,8 +229,8 @@
         if (found == snapshot->services.end())
             return nullptr;
         return choosePeer(found->second, snapshot->evacuated,
-            { m_entry.m_dataCentre, m_tried, includeAvoided }, m_entry.m_policy.choice,
-            m_entry.m_hooks.random, present);
+            { m_entry.m_dataCentre, m_tried, m_context.rule->repeats, includeAvoided },
+            m_entry.m_policy.choice, m_entry.m_hooks.random, present);
     }
 
     void sendNext(instant present)
@@ -305,7 +306,11 @@
         std::erase_if(m_attempts, [&](const attempt& each) { return each.peer == peer; });
         if (reply.report.slots > 0)
             peer->note(reply.report, present);
-        if (reply.avoidFor > duration::zero())
+        bool isSuspicion = !reply.answer && reply.answer.error().reason == refusal_reason::backendServerFailed
+            && !reply.reachedBackend;
+        if (isSuspicion)
+            peer->noteSuspect(present + reply.avoidFor, present);
+        else if (reply.avoidFor > duration::zero())
             peer->avoidUntil(present + reply.avoidFor);
         if (reply.reachedBackend)
             m_reachedNodes.push_back(peer->announcement.node);
@@ -334,7 +339,7 @@
     {
         if (!m_attempts.empty())
             return true; // A second attempt is under way already.
-        if (!mayReachAnother() || !m_entry.m_budget.tryTake())
+        if (!mayReachAnother() || !takeRetry(now()))
             return false;
         m_entry.m_log.write(event_weight::failure, "retried", id(), { { "cause", cause } });
         m_entry.m_metrics.noteRetry();
@@ -453,7 +458,7 @@
     , m_hooks(std::move(hooks))
     , m_chain(makeEntryChain(quarantine))
     , m_wallet({})
-    , m_budget(policy.retryPercent, policy.retryReserve)
+    , m_retries(policy.retries, policy.threads)
 {
 }
 
--- a/packages/proxy/src/request_entry.h
+++ b/packages/proxy/src/request_entry.h
@@ -12,7 +12,7 @@
 #include "peer_choice.h"
 #include "peer_forwarder.h"
 #include "proxy_metrics.h"
-#include "retry_policy.h"
+#include "retry_allowance.h"
 
 namespace pomelohub {
 
@@ -42,8 +42,8 @@
     duration watchInterval = std::chrono::milliseconds(150); ///< Between looks at requests that wait.
     duration allowanceTimeout = std::chrono::milliseconds(150); ///< For the owner of an allowance to answer.
     duration shortestRetryAfter = std::chrono::milliseconds(150);
-    std::int64_t retryPercent = 15; ///< Below the share that the users allow, as nodes count on their own.
-    std::int64_t retryReserve = 2; ///< Retries at once; over all nodes it stays below the users' reserve.
+    retry_limits retries;
+    std::size_t threads = 1; ///< That divide this node's retries.
 };
 
 /** Thread safety: one thread, that of its execution context. */
@@ -81,7 +81,7 @@
     hooks m_hooks;
     entry_chain m_chain;
     allowance_wallet m_wallet;
-    retry_budget m_budget;
+    retry_allowance m_retries;
 };
 
 } // namespace pomelohub
