--- a/packages/decisions/src/retry_allowance.cpp
+++ b/packages/decisions/src/retry_allowance.cpp
@@ -9,53 +9,50 @@
     /** Of the agreed share and reserve; the rest is for repeats that nodes cannot count, such as the calls of
      * a repeated request. */
     constexpr double usedShare = 0.85;
-    /** Of the reserve that may be held for use at once; the rest comes with time. */
-    constexpr double heldShare = 0.4;
+    /** Of the used reserve that may be taken at once; the rest comes with time. */
+    constexpr double burstShare = 0.5;
+    /** Repeats that a node may save up from its own requests. */
+    constexpr double mostEarned = 2;
+    /** Marks the names of reserves. Names of organisations that begin like it would be taken for one, so it
+     * holds a character that no name in a configuration may have. */
+    constexpr std::string_view reservePrefix = "\nreserve:";
 
 } // namespace
 
-retry_allowance::retry_allowance(retry_limits limits, std::size_t holders)
-    : m_limits(limits)
-    , m_holders(static_cast<double>(std::max<std::size_t>(holders, 1)))
+handle<const organisation_limits> reserveOf(const retry_limits& limits, const service_id& service)
 {
+    handle<organisation_limits> reserve(new organisation_limits);
+    reserve->id = organisation_id(std::string(reservePrefix) + service.text());
+    auto used = limits.reserve * usedShare;
+    reserve->burst = used * burstShare;
+    reserve->tokensPerSecond = used * (1 - burstShare) / std::chrono::duration<double>(limits.window).count();
+    return reserve;
 }
 
-double retry_allowance::mostHeld(std::size_t nodes) const
+std::optional<service_id> reservedServiceOf(const organisation_id& id)
 {
-    auto parts = static_cast<double>(std::max<std::size_t>(nodes, 1)) * m_holders;
-    return std::max(1.0, m_limits.reserve * heldShare / parts);
+    if (!id.text().starts_with(reservePrefix))
+        return std::nullopt;
+    return service_id(id.text().substr(reservePrefix.size()));
 }
 
-retry_allowance::account& retry_allowance::accrue(const service_id& service, std::size_t nodes, instant now)
+retry_allowance::retry_allowance(retry_limits limits)
+    : m_limits(limits)
 {
-    auto parts = static_cast<double>(std::max<std::size_t>(nodes, 1)) * m_holders;
-    auto most = mostHeld(nodes);
-    auto [found, isNew] = m_accounts.try_emplace(service);
-    auto& account = found->second;
-    auto inWindow = std::max(0.0, m_limits.reserve * usedShare - parts * most);
-    if (isNew) {
-        // Where there are more nodes than repeats in the reserve, each must earn its first.
-        account.level = parts * most <= m_limits.reserve * usedShare ? most : 0;
-    } else {
-        auto windows = std::chrono::duration<double>(now - account.accruedAt) / m_limits.window;
-        account.level = std::min(most, account.level + windows * inWindow / parts);
-    }
-    account.accruedAt = now;
-    return account;
 }
 
-void retry_allowance::noteRequest(const service_id& service, std::size_t nodes, instant now)
+void retry_allowance::noteRequest(const service_id& service)
 {
-    auto& account = accrue(service, nodes, now);
-    account.level = std::min(mostHeld(nodes) + 1, account.level + m_limits.share * usedShare);
+    auto& level = m_levels[service];
+    level = std::min(mostEarned, level + m_limits.share * usedShare);
 }
 
-bool retry_allowance::tryTake(const service_id& service, std::size_t nodes, instant now)
+bool retry_allowance::tryTake(const service_id& service)
 {
-    auto& account = accrue(service, nodes, now);
-    if (account.level < 1)
+    auto& level = m_levels[service];
+    if (level < 1)
         return false;
-    account.level -= 1;
+    level -= 1;
     return true;
 }
 
--- a/packages/decisions/src/retry_allowance.h
+++ b/packages/decisions/src/retry_allowance.h
@@ -1,10 +1,11 @@
 /** \file
- * Defines retry_allowance, this node's part of the repeats that all nodes together may send to a service: a
- * share of its requests, and a reserve that is divided among the nodes.
+ * Defines retry_limits and retry_allowance: the repeats that all nodes together may send to a service are a
+ * share of its requests, which each node earns with its own, and a reserve, which one owner hands out like
+ * the rate of an organisation.
  */
 #pragma once
 
-#include "core_types.h"
+#include "routing_table.h"
 
 #include <unordered_map>
 
@@ -17,30 +18,27 @@
     duration window = std::chrono::seconds(10);
 };
 
-/** Thread safety: one thread at a time. */
+/** The reserve of \p service in the form in which owners grant. Any window holds at most the agreed reserve.
+ */
+handle<const organisation_limits> reserveOf(const retry_limits& limits, const service_id& service);
+
+/** The service whose reserve \p id names, or nothing when it names an organisation. */
+std::optional<service_id> reservedServiceOf(const organisation_id& id);
+
+/** The share that this node earned. Thread safety: one thread at a time. */
 class retry_allowance {
 public:
-    /** \param holders that divide the node's part, one for each thread that serves requests. */
-    retry_allowance(retry_limits limits, std::size_t holders);
+    explicit retry_allowance(retry_limits limits);
 
-    /** Notes a first try. \param nodes that divide the reserve at present. */
-    void noteRequest(const service_id& service, std::size_t nodes, instant now);
+    /** Notes a first try. */
+    void noteRequest(const service_id& service);
 
-    /** Takes one repeat if there is one. */
-    bool tryTake(const service_id& service, std::size_t nodes, instant now);
+    /** Takes one repeat if the share has one. */
+    bool tryTake(const service_id& service);
 
 private:
-    struct account {
-        double level = 0;
-        instant accruedAt {};
-    };
-
-    account& accrue(const service_id& service, std::size_t nodes, instant now);
-    double mostHeld(std::size_t nodes) const;
-
     retry_limits m_limits;
-    double m_holders;
-    std::unordered_map<service_id, account> m_accounts;
+    std::unordered_map<service_id, double> m_levels;
 };
 
 } // namespace pomelohub
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -150,7 +150,6 @@
         m_workers.push_back(std::make_unique<worker>(*this));
     entry_policy entryPolicy;
     entryPolicy.retries = m_settings.retries;
-    entryPolicy.threads = m_settings.threads;
     for (const auto& each : m_workers) {
         auto* asking = each.get();
         each->entry = std::make_unique<request_entry>(each->context, m_settings.node, m_settings.service,
@@ -316,12 +315,17 @@
     m_gateway->submit(local);
 }
 
-void proxy_node::takeAllowanceQuestion(const handle<peer_request>& request)
+handle<const organisation_limits> proxy_node::limitsOf(const organisation_id& id) const
 {
+    if (auto service = reservedServiceOf(id))
+        return reserveOf(m_settings.retries, *service);
     auto snapshot = m_controller.snapshot();
-    auto limits = snapshot && snapshot->routes ? snapshot->routes->organisationNamed(
-                      organisation_id(std::string(request->message.value("organisation"))))
-                                               : nullptr;
+    return snapshot && snapshot->routes ? snapshot->routes->organisationNamed(id) : nullptr;
+}
+
+void proxy_node::takeAllowanceQuestion(const handle<peer_request>& request)
+{
+    auto limits = limitsOf(organisation_id(std::string(request->message.value("organisation"))));
     if (!limits) {
         request->reply({}); // The asking node knows a newer configuration; it falls back to its share.
         return;
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -52,6 +52,7 @@
     void acceptPeers();
     void takePeerRequest(handle<peer_request> request);
     void takeForwarded(const handle<peer_request>& request);
+    handle<const organisation_limits> limitsOf(const organisation_id& id) const;
     void takeAllowanceQuestion(const handle<peer_request>& request);
     void askAllowance(worker& asking, const handle<const organisation_limits>& limits, std::uint32_t wanted,
         duration timeout, std::function<void(std::optional<allowance_grant>)> done);
--- a/packages/proxy/src/request_entry.cpp
+++ b/packages/proxy/src/request_entry.cpp
@@ -132,13 +132,17 @@
             sendNext(present);
             return;
         }
-        if (needsHedge && isIdempotent() && m_attempts.size() == 1 && mayReachAnother() && takeRetry(present))
-            hedge(present);
+        if (needsHedge && isIdempotent() && m_attempts.size() == 1 && mayReachAnother() && !m_isAsking) {
+            withRepeat([self = handle<exchange>(this)](bool isGranted) {
+                if (isGranted)
+                    self->hedge(self->now());
+            });
+        }
     }
 
     void hedge(instant present)
     {
-        auto peer = choose(present, false);
+        auto peer = m_attempts.size() == 1 ? choose(present, false) : nullptr;
         if (!peer)
             return;
         m_entry.m_log.write(event_weight::failure, "hedged", id(),
@@ -213,12 +217,13 @@
 
     void firstSend(instant present)
     {
-        m_entry.m_retries.noteRequest(m_service, nodeCount(), present);
+        m_entry.m_retries.noteRequest(m_service);
         sendNext(present);
     }
 
     std::size_t nodeCount() const { return m_context.snapshot->nodes.size(); }
-    bool takeRetry(instant present) { return m_entry.m_retries.tryTake(m_service, nodeCount(), present); }
+    /** Whether a failure of the next attempt could be made good by another one. */
+    bool mayBeTrial() const { return isIdempotent() && m_reached == 0; }
     bool mayReachAnother() const { return m_reached < m_context.rule->maxAttempts; }
 
     handle<peer_state> choose(instant present, bool includeAvoided)
@@ -229,7 +234,8 @@
         if (found == snapshot->services.end())
             return nullptr;
         return choosePeer(found->second, snapshot->evacuated,
-            { m_entry.m_dataCentre, m_tried, m_context.rule->repeats, includeAvoided },
+            { m_entry.m_dataCentre, m_tried, mayBeTrial() ? repeat_rule::idempotent : repeat_rule::once,
+                includeAvoided },
             m_entry.m_policy.choice, m_entry.m_hooks.random, present);
     }
 
@@ -257,9 +263,14 @@
             "no backend server of " + m_service.text() + " is known", {} });
         if (m_mayHaveRun)
             refusal.outcome = execution::mayHaveRun;
+        refuse(withRetryAfter(refusal), "choice");
+    }
+
+    verdict withRetryAfter(verdict refusal) const
+    {
         refusal.retryAfter = std::max<milliseconds>(
             refusal.retryAfter, std::chrono::ceil<milliseconds>(m_entry.m_policy.shortestRetryAfter));
-        refuse(refusal, "choice");
+        return refusal;
     }
 
     void send(const handle<peer_state>& peer, instant present, duration patience)
@@ -317,33 +328,73 @@
         else
             --m_reached;
         if (reply.answer)
-            takeAnswer(std::move(*reply.answer), present);
+            takeAnswer(std::move(*reply.answer));
         else
             takeRefusal(*peer, reply.answer.error(), reply.reachedBackend, present);
     }
 
-    void takeAnswer(http_message&& message, instant present)
+    void takeAnswer(http_message&& message)
     {
         bool isFailure = message.status >= firstServerError;
-        if (!isFailure || !isIdempotent() || !retryAfterArrival("answered_with_failure")) {
+        if (!isFailure || !isIdempotent()) {
             answer(std::move(message));
             return;
         }
         m_fallback = std::move(message);
-        if (m_attempts.empty())
-            sendNext(present);
+        repeatAfterArrival("answered_with_failure");
     }
 
-    /** Whether another backend server may get the request although one had it. */
-    bool retryAfterArrival(std::string_view cause)
+    /** Calls \p go with whether another backend server may get the request although one had it, unless the
+     * request has ended by then. */
+    void withRepeat(std::function<void(bool)> go)
+    {
+        if (m_entry.m_retries.tryTake(m_service)) {
+            go(true);
+            return;
+        }
+        m_isAsking = true;
+        m_entry.m_hooks.askAllowance(reserveOf(m_entry.m_policy.retries, m_service), 1,
+            m_entry.m_policy.allowanceTimeout,
+            [self = handle<exchange>(this), go = std::move(go)](const std::optional<allowance_grant>& grant) {
+                self->m_isAsking = false;
+                if (!self->m_isDone)
+                    go(grant && grant->tokens > 0);
+            });
+    }
+
+    /** A backend server had the request and failed it: tries another one, or ends the request. */
+    void repeatAfterArrival(std::string_view cause)
     {
         if (!m_attempts.empty())
-            return true; // A second attempt is under way already.
-        if (!mayReachAnother() || !takeRetry(now()))
-            return false;
-        m_entry.m_log.write(event_weight::failure, "retried", id(), { { "cause", cause } });
-        m_entry.m_metrics.noteRetry();
-        return true;
+            return; // A second attempt is under way already.
+        if (!mayReachAnother()) {
+            endWithBest();
+            return;
+        }
+        withRepeat([self = handle<exchange>(this), cause = std::string(cause)](bool isGranted) {
+            if (!self->m_attempts.empty())
+                return;
+            if (!isGranted) {
+                self->endWithBest();
+                return;
+            }
+            self->m_entry.m_log.write(event_weight::failure, "retried", self->id(), { { "cause", cause } });
+            self->m_entry.m_metrics.noteRetry();
+            self->sendNext(self->now());
+        });
+    }
+
+    /** Ends the request with the best that its attempts brought. */
+    void endWithBest()
+    {
+        if (m_fallback) {
+            answer(std::move(*m_fallback));
+            return;
+        }
+        auto refusal = m_lastRefusal.value_or(verdict {});
+        if (m_mayHaveRun)
+            refusal.outcome = execution::mayHaveRun;
+        refuse(withRetryAfter(refusal), "attempt");
     }
 
     void takeRefusal(const peer_state& peer, const verdict& refusal, bool reached, instant present)
@@ -353,22 +404,19 @@
                 { "outcome", toText(refusal.outcome) }, { "detail", refusal.detail },
                 { "reached", reached } });
         m_entry.m_metrics.noteAttemptFailure(refusal.reason);
-        if (!reached)
-            ++m_freeRefusals;
         bool mayHaveRun = refusal.outcome == execution::mayHaveRun;
         m_mayHaveRun = m_mayHaveRun || mayHaveRun;
         m_lastRefusal = refusal;
-        bool isForbidden = mayHaveRun && !isIdempotent();
-        if (isForbidden || (reached && !retryAfterArrival(toText(refusal.reason)))) {
-            if (!m_attempts.empty())
-                return;
-            if (m_fallback)
-                answer(std::move(*m_fallback));
-            else
-                refuse(refusal, "attempt");
+        if (mayHaveRun && !isIdempotent()) {
+            endWithBest();
+            return;
+        }
+        if (reached) {
+            repeatAfterArrival(toText(refusal.reason));
             return;
         }
-        if (m_attempts.empty())
+        ++m_freeRefusals;
+        if (m_attempts.empty() && !m_isAsking)
             sendNext(present);
     }
 
@@ -458,7 +506,7 @@
     , m_hooks(std::move(hooks))
     , m_chain(makeEntryChain(quarantine))
     , m_wallet({})
-    , m_retries(policy.retries, policy.threads)
+    , m_retries(policy.retries)
 {
 }
 
--- a/packages/proxy/src/request_entry.h
+++ b/packages/proxy/src/request_entry.h
@@ -43,7 +43,6 @@
     duration allowanceTimeout = std::chrono::milliseconds(150); ///< For the owner of an allowance to answer.
     duration shortestRetryAfter = std::chrono::milliseconds(150);
     retry_limits retries;
-    std::size_t threads = 1; ///< That divide this node's retries.
 };
 
 /** Thread safety: one thread, that of its execution context. */
