--- a/packages/decisions/src/outcome_judge.h
+++ b/packages/decisions/src/outcome_judge.h
@@ -24,7 +24,8 @@
     duration trialInterval = std::chrono::milliseconds(600); ///< Between trials of a suspect server.
     std::uint32_t trialsToClear = 2; ///< Trials served in a row that clear it.
     std::uint32_t mostTrialsToClear = 6; ///< Each relapse asks one more, up to this.
-    duration quietToClear = std::chrono::milliseconds(2500); ///< Without a failure a suspect server gets any request.
+    duration quietToClear
+        = std::chrono::milliseconds(2500); ///< Without a failure a suspect server gets any request.
     duration relapseWindow = std::chrono::seconds(10); ///< A suspicion within it counts as a relapse.
 };
 
--- a/packages/decisions/src/routing_table.cpp
+++ b/packages/decisions/src/routing_table.cpp
@@ -49,7 +49,8 @@
     rules.insert(place, std::move(rule));
 }
 
-void routing_table::add(handle<const organisation_limits> organisation, const std::vector<std::string>& keys)
+void routing_table::add(
+    const handle<const organisation_limits>& organisation, const std::vector<std::string>& keys)
 {
     for (const auto& key : keys)
         m_keys[sha256(key)] = organisation;
--- a/packages/decisions/src/routing_table.h
+++ b/packages/decisions/src/routing_table.h
@@ -76,7 +76,7 @@
 public:
     /** Adds \p rule; a later rule for the same host and prefix replaces the former. */
     void add(handle<const routing_rule> rule);
-    void add(handle<const organisation_limits> organisation, const std::vector<std::string>& keys);
+    void add(const handle<const organisation_limits>& organisation, const std::vector<std::string>& keys);
     void add(service_profile profile);
 
     /** The rule of \p host with the longest prefix of \p path, or null. */
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -39,10 +39,10 @@
     , m_hooks(std::move(hooks))
     , m_queue(
           {},
-          [this](handle<queued_request> request, instant now) {
+          [this](const handle<queued_request>& request, instant now) {
               start(boost::static_pointer_cast<gateway_request>(request), now);
           },
-          [this](handle<queued_request> request, const verdict& reason) {
+          [this](const handle<queued_request>& request, const verdict& reason) {
               refuse(static_cast<gateway_request&>(*request), reason, false);
           })
 {
@@ -91,7 +91,7 @@
     }
 }
 
-void backend_gateway::submit(handle<gateway_request> request)
+void backend_gateway::submit(const handle<gateway_request>& request)
 {
     auto now = m_hooks.clock().monotonic;
     request->organisation = request->request.organisation;
@@ -151,7 +151,7 @@
     run(&request, m_hooks.clock().monotonic);
 }
 
-void backend_gateway::run(handle<gateway_request> request, instant now)
+void backend_gateway::run(const handle<gateway_request>& request, instant now)
 {
     request->m_stage = gateway_request::stage::running;
     auto left = request->m_endsBy - now;
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -74,7 +74,7 @@
         hooks hooks);
 
     /** Admits or refuses \p request; its reply hook is called once, possibly at once. */
-    void submit(handle<gateway_request> request);
+    void submit(const handle<gateway_request>& request);
 
     /** The message of a granted offer is here. */
     void commit(gateway_request& request);
@@ -115,7 +115,7 @@
     void refuse(gateway_request& request, const verdict& refusal, bool reachedBackend);
     void finish(gateway_request& request, forward_reply reply);
     void start(handle<gateway_request> request, instant now);
-    void run(handle<gateway_request> request, instant now);
+    void run(const handle<gateway_request>& request, instant now);
     void takeResult(gateway_request& request, http_call_result result);
     void takeAnswer(gateway_request& request, http_message&& answer, instant now);
     void takeFailure(gateway_request& request, http_call_failure failure, instant now);
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -149,7 +149,7 @@
 void peer_forwarder::forwardRemotely(
     const handle<forward_ticket>& ticket, const forwarded_request& request, reply_hook done)
 {
-    auto fail = [this, ticket, done](verdict reason) {
+    auto fail = [ticket, done](verdict reason) {
         if (ticket->m_isDone)
             return;
         ticket->release();
@@ -176,7 +176,7 @@
              if (raw->m_call)
                  raw->m_call->commit();
          },
-            [this, ticket, done, isHead](peer_message&& message) {
+            [ticket, done, isHead](peer_message&& message) {
                 if (ticket->m_isDone)
                     return;
                 ticket->release();
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -124,7 +124,7 @@
         } };
 }
 
-std::optional<std::string> proxy_node::run(std::function<std::optional<proxy_settings>()> reload)
+std::optional<std::string> proxy_node::run(const std::function<std::optional<proxy_settings>()>& reload)
 {
     auto backend = endpointFromText(m_settings.backendEndpoint);
     // The gateway runs on the thread of the first worker, whose forwarder uses it without a link.
@@ -199,12 +199,12 @@
             [this] { return &m_workers[m_nextWorker++ % m_workers.size()]->context; } });
     auto ownLimits = [] { return http_server_limits {}; };
     m_backendCalls = std::make_unique<http_server>(m_control,
-        http_server::hooks { [this](http_message&& message, handle<http_responder> responder) {
+        http_server::hooks { [this](http_message&& message, const handle<http_responder>& responder) {
                                 takeBackendCall(message, responder);
                             },
             ownLimits, m_clock, nullptr });
     m_readiness = std::make_unique<http_server>(m_control,
-        http_server::hooks { [this](http_message&& message, handle<http_responder> responder) {
+        http_server::hooks { [this](http_message&& message, const handle<http_responder>& responder) {
                                 if (m_surroundings.isReadinessQuestion(message))
                                     answerReadiness(responder);
                                 else
@@ -212,7 +212,7 @@
                             },
             ownLimits, m_clock, nullptr });
     m_metricsServer = std::make_unique<http_server>(m_control,
-        http_server::hooks { [this](http_message&&, handle<http_responder> responder) {
+        http_server::hooks { [this](http_message&&, const handle<http_responder>& responder) {
                                 m_metrics.setLinesDropped(m_log.droppedCount());
                                 responder->respond(
                                     makeAnswer(200, m_metrics.text(), "text/plain; version=0.0.4"));
@@ -259,7 +259,7 @@
     });
 }
 
-void proxy_node::takePeerRequest(handle<peer_request> request)
+void proxy_node::takePeerRequest(const handle<peer_request>& request)
 {
     auto type = request->message.value("type");
     if (type == "forward") {
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -43,14 +43,14 @@
     /** Listens and serves until SIGTERM or SIGINT has been carried out. \param reload is called on SIGHUP and
      * at intervals, since settings may change without a signal. \return an error text when it cannot start.
      */
-    std::optional<std::string> run(std::function<std::optional<proxy_settings>()> reload);
+    std::optional<std::string> run(const std::function<std::optional<proxy_settings>()>& reload);
 
 private:
     struct worker;
 
     std::optional<std::string> listenAll();
     void acceptPeers();
-    void takePeerRequest(handle<peer_request> request);
+    void takePeerRequest(const handle<peer_request>& request);
     void takeForwarded(const handle<peer_request>& request);
     handle<const organisation_limits> limitsOf(const organisation_id& id) const;
     void takeAllowanceQuestion(const handle<peer_request>& request);
