--- a/packages/decisions/src/allowance.cpp
+++ b/packages/decisions/src/allowance.cpp
@@ -20,20 +20,22 @@
 {
 }
 
-allowance_grant allowance_ledger::grant(const organisation_limits& limits, std::uint32_t wanted, instant now)
+allowance_grant allowance_ledger::grant(
+    const organisation_limits& limits, std::uint32_t wanted, double reached, instant now)
 {
-    auto full = std::max(limits.burst, 1.0);
+    auto full = std::max(limits.burst * reached, 1.0);
+    auto perSecond = limits.tokensPerSecond * reached;
     auto [found, isNew] = m_buckets.try_emplace(limits.id);
     auto& bucket = found->second;
     if (isNew) {
         bucket.level = m_startsFull ? full : 0;
         bucket.accruedAt = m_startsFull ? now : m_startedAt;
     }
-    bucket.level += secondsOf(now - bucket.accruedAt) * limits.tokensPerSecond;
+    bucket.level += secondsOf(now - bucket.accruedAt) * perSecond;
     bucket.level = std::min(bucket.level, full);
     bucket.accruedAt = now;
     if (bucket.level < 1) {
-        auto missing = (1 - bucket.level) / std::max(limits.tokensPerSecond, 0.01);
+        auto missing = (1 - bucket.level) / std::max(perSecond, 0.01);
         return { 0, std::chrono::duration_cast<duration>(seconds_double(missing)) };
     }
     auto ahead = 1 + static_cast<std::uint32_t>((bucket.level - 1) * m_policy.shareOfLevel);
--- a/packages/decisions/src/allowance.h
+++ b/packages/decisions/src/allowance.h
@@ -31,7 +31,10 @@
     /** \param startsFull whether nobody can have granted tokens before this node started. */
     allowance_ledger(allowance_policy policy, bool startsFull, instant now);
 
-    allowance_grant grant(const organisation_limits& limits, std::uint32_t wanted, instant now);
+    /** \param reached share of the fleet that this node reaches. It grants that share of the rate only, so
+     * that the parts of a divided fleet, each with an owner, stay within the rate together. */
+    allowance_grant grant(
+        const organisation_limits& limits, std::uint32_t wanted, double reached, instant now);
     void trim(instant now);
 
 private:
--- a/packages/decisions/src/peer_state.cpp
+++ b/packages/decisions/src/peer_state.cpp
@@ -71,19 +71,20 @@
     return std::chrono::duration_cast<duration>(mean * rounds);
 }
 
-const fleet_node* ownerOf(const fleet_snapshot& snapshot, std::string_view item)
+std::vector<fleet_node> ownersOf(const fleet_snapshot& snapshot, std::string_view item, std::size_t count)
 {
     auto hash = stableHash(item);
-    const fleet_node* owner = nullptr;
-    std::uint64_t highest = 0;
-    for (const auto& each : snapshot.nodes) {
-        auto weight = rendezvousWeight(each.id.text(), hash);
-        if (!owner || weight > highest) {
-            owner = &each;
-            highest = weight;
-        }
-    }
-    return owner;
+    std::vector<std::pair<std::uint64_t, const fleet_node*>> weighted;
+    weighted.reserve(snapshot.nodes.size());
+    for (const auto& each : snapshot.nodes)
+        weighted.emplace_back(rendezvousWeight(each.id.text(), hash), &each);
+    count = std::min(count, weighted.size());
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(count), weighted.end(),
+        [](const auto& left, const auto& right) { return left.first > right.first; });
+    std::vector<fleet_node> owners;
+    for (std::size_t i = 0; i < count; ++i)
+        owners.push_back(*weighted[i].second);
+    return owners;
 }
 
 } // namespace pomelohub
--- a/packages/decisions/src/peer_state.h
+++ b/packages/decisions/src/peer_state.h
@@ -82,8 +82,9 @@
     std::vector<fleet_node> nodes;
 };
 
-/** The node that owns what \p item names, the same for all nodes that know the same fleet; null in an empty
- * fleet. Thread safety: any thread. */
-const fleet_node* ownerOf(const fleet_snapshot& snapshot, std::string_view item);
+/** The nodes in the order in which they own what \p item names, the same for all nodes that know the same
+ * fleet: a node stands in for those before it while they cannot be reached. \param count how many to return
+ * at most. Thread safety: any thread. */
+std::vector<fleet_node> ownersOf(const fleet_snapshot& snapshot, std::string_view item, std::size_t count);
 
 } // namespace pomelohub
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -100,6 +100,7 @@
             if (found == m_links.end() || found->second.link.get() != raw)
                 return;
             auto now = m_hooks.clock().monotonic;
+            m_reached.noteFailure(endpoint, now);
             for (const auto& each : found->second.peers) {
                 each->avoidUntil(now + failedLinkAvoidance);
                 each->isSilent = false;
@@ -176,9 +177,10 @@
              if (raw->m_call)
                  raw->m_call->commit();
          },
-            [ticket, done, isHead](peer_message&& message) {
+            [this, ticket, done, isHead](peer_message&& message) {
                 if (ticket->m_isDone)
                     return;
+                m_reached.noteAnswer(ticket->m_peer->announcement.endpoint);
                 ticket->release();
                 done(decodeForwardReply(message, isHead));
             },
@@ -220,15 +222,20 @@
     handle<question> asked(new question(m_context));
     asked->done = std::move(done);
     asked->timer.expires_after(timeout);
-    asked->timer.async_wait([asked](std::error_code error) {
+    asked->timer.async_wait([this, asked, endpoint](std::error_code error) {
         if (error || !asked->done)
             return;
+        m_reached.noteFailure(endpoint, m_hooks.clock().monotonic);
         if (auto call = asked->call)
             call->cancel();
         asked->finish(std::nullopt);
     });
     asked->call = link->call(std::move(message), false,
-        { nullptr, [asked](peer_message&& answer) { asked->finish(std::move(answer)); },
+        { nullptr,
+            [this, asked, endpoint](peer_message&& answer) {
+                m_reached.noteAnswer(endpoint);
+                asked->finish(std::move(answer));
+            },
             [asked](peer_failure) { asked->finish(std::nullopt); } });
 }
 
--- a/packages/proxy/src/peer_forwarder.h
+++ b/packages/proxy/src/peer_forwarder.h
@@ -6,6 +6,7 @@
 
 #include "backend_gateway.h"
 #include "peer_link.h"
+#include "reachability.h"
 
 namespace pomelohub {
 
@@ -61,6 +62,8 @@
     /** Precondition: nothing was forwarded yet. */
     void setGateway(backend_gateway* gateway) { m_hooks.gateway = gateway; }
 
+    const reachability& reached() const { return m_reached; }
+
     std::size_t linkCount() const { return m_links.size(); }
 
     /** Ends links to nodes that are not in \p endpoints any more once their streams have ended. */
@@ -84,6 +87,7 @@
     event_log& m_log;
     hooks m_hooks;
     std::unordered_map<std::string, link_entry> m_links;
+    reachability m_reached;
 };
 
 /** Reads "address:port". \return nothing when it is not one. */
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -18,6 +18,8 @@
     /** Left of the grace for the last answers and the end of the process. */
     constexpr duration graceMargin = milliseconds(500);
     constexpr duration stopCheckInterval = milliseconds(50);
+    /** Nodes that may own one allowance, one after the other; each loss of a node costs one. */
+    constexpr std::size_t mostOwners = 3;
     constexpr duration reloadInterval = std::chrono::seconds(2);
 
     choice_random_hook makeRandom()
@@ -324,6 +326,25 @@
     return snapshot && snapshot->routes ? snapshot->routes->organisationNamed(id) : nullptr;
 }
 
+bool proxy_node::standsIn(
+    const worker& judging, const fleet_snapshot& snapshot, const organisation_id& item, instant now) const
+{
+    for (const auto& owner : ownersOf(snapshot, item.text(), mostOwners)) {
+        if (owner.id == m_settings.node)
+            return true;
+        if (!judging.forwarder.reached().isLost(owner.endpoint, now))
+            return false;
+    }
+    return false;
+}
+
+double proxy_node::reachedShare(const fleet_snapshot& snapshot, instant now) const
+{
+    auto nodes = static_cast<double>(std::max<std::size_t>(snapshot.nodes.size(), 1));
+    auto lost = static_cast<double>(m_workers.front()->forwarder.reached().lostCount(now));
+    return std::max(1 / nodes, 1 - lost / nodes);
+}
+
 void proxy_node::takeAllowanceQuestion(const handle<peer_request>& request)
 {
     auto limits = limitsOf(organisation_id(std::string(request->message.value("organisation"))));
@@ -332,7 +353,13 @@
         return;
     }
     auto wanted = static_cast<std::uint32_t>(numberIn(request->message, "wanted"));
-    auto grant = m_ledger.grant(*limits, wanted, m_clock().monotonic);
+    auto now = m_clock().monotonic;
+    auto snapshot = m_controller.snapshot();
+    if (!standsIn(*m_workers.front(), *snapshot, limits->id, now)) {
+        request->reply({}); // The owner is within reach, so the asking node falls back to its share.
+        return;
+    }
+    auto grant = m_ledger.grant(*limits, wanted, reachedShare(*snapshot, now), now);
     request->reply(
         { { { "tokens", std::to_string(grant.tokens) }, { "retry-after", grantText(grant) } }, "" });
 }
@@ -341,15 +368,24 @@
     std::uint32_t wanted, duration timeout, std::function<void(std::optional<allowance_grant>)> done)
 {
     auto snapshot = m_controller.snapshot();
-    const auto* owner = ownerOf(*snapshot, limits->id.text());
-    if (!owner || (owner->id == m_settings.node && &asking == m_workers.front().get())) {
-        done(m_ledger.grant(*limits, wanted, m_clock().monotonic));
+    auto now = m_clock().monotonic;
+    auto owners = ownersOf(*snapshot, limits->id.text(), mostOwners);
+    std::erase_if(owners, [&](const fleet_node& each) {
+        return each.id != m_settings.node && asking.forwarder.reached().isLost(each.endpoint, now);
+    });
+    if (owners.empty()) {
+        done(std::nullopt);
+        return;
+    }
+    const auto& owner = owners.front();
+    if (owner.id == m_settings.node && &asking == m_workers.front().get()) {
+        done(m_ledger.grant(*limits, wanted, reachedShare(*snapshot, now), now));
         return;
     }
     peer_message question { { { "type", "allowance" }, { "organisation", limits->id.text() },
                                 { "wanted", std::to_string(wanted) } },
         "" };
-    asking.forwarder.ask(owner->endpoint, std::move(question), timeout,
+    asking.forwarder.ask(owner.endpoint, std::move(question), timeout,
         [done = std::move(done)](const std::optional<peer_message>& answer) {
             if (answer && !answer->value("tokens").empty())
                 done(grantFrom(*answer));
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -53,6 +53,9 @@
     void takePeerRequest(const handle<peer_request>& request);
     void takeForwarded(const handle<peer_request>& request);
     handle<const organisation_limits> limitsOf(const organisation_id& id) const;
+    bool standsIn(const worker& judging, const fleet_snapshot& snapshot, const organisation_id& item,
+        instant now) const;
+    double reachedShare(const fleet_snapshot& snapshot, instant now) const;
     void takeAllowanceQuestion(const handle<peer_request>& request);
     void askAllowance(worker& asking, const handle<const organisation_limits>& limits, std::uint32_t wanted,
         duration timeout, std::function<void(std::optional<allowance_grant>)> done);
--- a/test/proxy/allowance.cpp
+++ b/test/proxy/allowance.cpp
@@ -47,7 +47,7 @@
         }
         if (!reaches)
             return wallet.takeShare(limits, wallets.size(), now);
-        auto grant = ledger.grant(limits, wallet.wanted(limits, now), now);
+        auto grant = ledger.grant(limits, wallet.wanted(limits, now), 1, now);
         if (grant.tokens == 0) {
             wallet.add(limits.id, grant, now, now);
             return false;
@@ -110,18 +110,18 @@
 {
     auto limits = limitsOf(10, 50);
     allowance_ledger ledger({}, false, start);
-    CHECK(ledger.grant(*limits, 1, start + 50ms).tokens == 0);
-    CHECK(ledger.grant(*limits, 1, start + 50ms).retryAfter > 0s);
-    CHECK(ledger.grant(*limits, 1, start + 1s).tokens == 1);
+    CHECK(ledger.grant(*limits, 1, 1, start + 50ms).tokens == 0);
+    CHECK(ledger.grant(*limits, 1, 1, start + 50ms).retryAfter > 0s);
+    CHECK(ledger.grant(*limits, 1, 1, start + 1s).tokens == 1);
 }
 
 TEST_CASE("A lowered limit binds at once")
 {
     allowance_ledger ledger({}, true, start);
-    CHECK(ledger.grant(*limitsOf(100, 100), 1, start).tokens == 1);
+    CHECK(ledger.grant(*limitsOf(100, 100), 1, 1, start).tokens == 1);
     std::uint32_t granted = 0;
     for (int i = 0; i < 100; ++i)
-        granted += ledger.grant(*limitsOf(1, 5), 1, start + 1s).tokens;
+        granted += ledger.grant(*limitsOf(1, 5), 1, 1, start + 1s).tokens;
     CHECK(granted <= 5);
 }
 
@@ -152,7 +152,7 @@
                 share.noteRequest(service_id("a"));
                 requests.push_back(now);
                 // Every request fails, and asks for a repeat.
-                if (share.tryTake(service_id("a")) || owner.grant(*reserve, 1, now).tokens > 0)
+                if (share.tryTake(service_id("a")) || owner.grant(*reserve, 1, 1, now).tokens > 0)
                     repeats.push_back(now);
                 while (now - requests.front() > 10s)
                     requests.pop_front();
@@ -172,3 +172,20 @@
     CHECK(reservedServiceOf(reserve->id) == service_id("a"));
     CHECK_FALSE(reservedServiceOf(organisation_id("guild")));
 }
+
+TEST_CASE(
+    "The parts of a divided fleet stay within the rate together, and the larger part gets the larger share")
+{
+    auto limits = limitsOf(25, 25);
+    allowance_ledger owner({}, true, start);
+    allowance_ledger standIn({}, false, start);
+    std::uint32_t small = 0;
+    std::uint32_t large = 0;
+    for (int i = 0; i < 5000; ++i) {
+        auto now = start + std::chrono::milliseconds(i);
+        small += owner.grant(*limits, 1, 0.3, now).tokens;
+        large += standIn.grant(*limits, 1, 0.7, now).tokens;
+    }
+    CHECK(small + large <= 25 * 5 + 25 + 2);
+    CHECK(large >= 80);
+}
