--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -25,8 +25,8 @@
 
     choice_random_hook makeRandom()
     {
-        auto generator = std::make_shared<std::mt19937_64>(std::random_device {}());
-        return [generator](std::uint64_t below) { return (*generator)() % below; };
+        return [generator = std::mt19937_64(std::random_device {}())](
+                   std::uint64_t below) mutable { return generator() % below; };
     }
 
     std::string grantText(const allowance_grant& grant)
