--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -132,12 +132,12 @@
         hook(std::move(reply));
 }
 
-void backend_gateway::start(handle<gateway_request> request, instant now)
+void backend_gateway::start(const handle<gateway_request>& request, instant now)
 {
     m_active.push_back(request);
     request->m_startedAt = now;
     if (request->isMessageHere) {
-        run(std::move(request), now);
+        run(request, now);
         return;
     }
     request->m_stage = gateway_request::stage::granted;
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -114,7 +114,7 @@
     duration avoidanceFor(refusal_reason reason) const;
     void refuse(gateway_request& request, const verdict& refusal, bool reachedBackend);
     void finish(gateway_request& request, forward_reply reply);
-    void start(handle<gateway_request> request, instant now);
+    void start(const handle<gateway_request>& request, instant now);
     void run(const handle<gateway_request>& request, instant now);
     void takeResult(gateway_request& request, http_call_result result);
     void takeAnswer(gateway_request& request, http_message&& answer, instant now);
--- a/packages/proxy/src/event_log.cpp
+++ b/packages/proxy/src/event_log.cpp
@@ -61,8 +61,9 @@
 
 event_log::~event_log()
 {
-    m_logger.reset();
+    // The writer's thread ends before the sink that it writes to.
     spdlog::shutdown();
+    m_logger.reset();
 }
 
 bool event_log::mayWrite(event_weight weight, const request_id& request, instant now)
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -127,7 +127,7 @@
     if (m_hooks.gateway && peer->announcement.node == m_self)
         forwardLocally(ticket, request, std::move(done));
     else
-        forwardRemotely(ticket, request, std::move(done));
+        forwardRemotely(ticket, request, done);
     return ticket;
 }
 
@@ -152,7 +152,7 @@
 }
 
 void peer_forwarder::forwardRemotely(
-    const handle<forward_ticket>& ticket, const forwarded_request& request, reply_hook done)
+    const handle<forward_ticket>& ticket, const forwarded_request& request, const reply_hook& done)
 {
     auto fail = [ticket, done](verdict reason) {
         if (ticket->m_isDone)
--- a/packages/proxy/src/peer_forwarder.h
+++ b/packages/proxy/src/peer_forwarder.h
@@ -74,7 +74,7 @@
     void forwardLocally(
         const handle<forward_ticket>& ticket, const forwarded_request& request, reply_hook done);
     void forwardRemotely(
-        const handle<forward_ticket>& ticket, const forwarded_request& request, reply_hook done);
+        const handle<forward_ticket>& ticket, const forwarded_request& request, const reply_hook& done);
 
     struct link_entry {
         handle<peer_link> link;
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -252,8 +252,8 @@
             return;
         if (!error) {
             auto link = peer_link::makeAsked(std::move(socket), {},
-                { nullptr, nullptr,
-                    [this](handle<peer_request> request) { takePeerRequest(std::move(request)); }, m_clock });
+                { nullptr, nullptr, [this](const handle<peer_request>& request) { takePeerRequest(request); },
+                    m_clock });
             link->start();
         } else {
             m_log.write(event_weight::failure, "peer_not_accepted", {}, { { "error", error.message() } });
