--- a/test/proxy/http_server.cpp
+++ b/test/proxy/http_server.cpp
@@ -54,12 +54,10 @@
 TEST_CASE("A caller that leaves is noticed while its requests wait")
 {
     server_fixture fixture;
-    {
-        raw_caller caller(fixture.context, fixture.address);
-        caller.write(get + get);
-        REQUIRE(fixture.run([&] { return fixture.responders.size() == 2; }));
-        caller.socket.close();
-    }
+    raw_caller caller(fixture.context, fixture.address);
+    caller.write(get + get);
+    REQUIRE(fixture.run([&] { return fixture.responders.size() == 2; }));
+    caller.socket.close();
     CHECK(fixture.run([&] { return fixture.cancelled == 2; }));
     CHECK(fixture.server.pendingCount() == 0);
     fixture.responders[0]->respond(makeAnswer(200, "late", "t"));
