--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -49,6 +49,19 @@
     tick();
 }
 
+backend_gateway::~backend_gateway()
+{
+    for (const auto& request : m_active) {
+        request->reply = nullptr;
+        if (request->m_connection)
+            request->m_connection->cancel();
+    }
+    for (const auto& idle : m_idle) {
+        idle.connection->ended = nullptr;
+        idle.connection->cancel();
+    }
+}
+
 result<void> backend_gateway::check(gateway_request& request, instant now)
 {
     auto snapshot = m_hooks.snapshot();
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -73,6 +73,11 @@
         data_centre_id dataCentre, const dialect& dialect, gateway_policy policy, event_log& log,
         hooks hooks);
 
+    /** Ends what still runs; no hook is called. */
+    ~backend_gateway();
+    backend_gateway(const backend_gateway&) = delete;
+    backend_gateway& operator=(const backend_gateway&) = delete;
+
     /** Admits or refuses \p request; its reply hook is called once, possibly at once. */
     void submit(const handle<gateway_request>& request);
 
--- a/test/proxy/http_server.cpp
+++ b/test/proxy/http_server.cpp
@@ -26,8 +26,10 @@
     server_fixture() { REQUIRE_FALSE(server.listen(address)); }
     ~server_fixture()
     {
-        for (const auto& each : responders)
+        for (const auto& each : responders) {
             each->cancelled = nullptr;
+            each->abort();
+        }
     }
 
     bool run(const std::function<bool()>& condition) { return runUntil(context, condition); }
