Give the entries the limits of repeats that the settings state

Cause: the policy was filled from the settings and a default one passed on, so entries earned and asked by 0.2 and 50 whatever was agreed; only the owner of a reserve used the settings. Found by reading. The test fails without the change.

--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -156,8 +156,8 @@
     for (const auto& each : m_workers) {
         auto* asking = each.get();
         each->entry = std::make_unique<request_entry>(each->context, m_settings.node, m_settings.service,
-            m_settings.dataCentre, m_surroundings.caller, m_quarantine, each->forwarder, entry_policy {},
-            m_log, m_metrics,
+            m_settings.dataCentre, m_surroundings.caller, m_quarantine, each->forwarder, entryPolicy, m_log,
+            m_metrics,
             request_entry::hooks { m_clock, [this] { return m_controller.snapshot(); }, makeRandom(),
                 [this] { return m_gateway->repeatShare(); },
                 [this, asking](const handle<const organisation_limits>& limits, std::uint32_t wanted,
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -191,7 +191,8 @@
     }
     m_runs.add({ text("Request-Id"), request.target, m_service, m_id, text("Tenant-Id"),
         text("Caller-Service"), request.hasField("Authorization"), std::chrono::steady_clock::now() });
-    auto answer = makeAnswer(200, "done by " + m_service, "text/plain");
+    auto status = request.target.ends_with("/fail") ? 500 : 200;
+    auto answer = makeAnswer(status, "done by " + m_service, "text/plain");
     answer.fields.push_back({ "Request-Id", text("Request-Id") });
     answer.fields.push_back({ "Server-Stamp", m_id });
     responder->respond(std::move(answer));
@@ -234,7 +235,7 @@
     });
 }
 
-proxy_fleet::proxy_fleet(const std::vector<std::string>& services)
+proxy_fleet::proxy_fleet(const std::vector<std::string>& services, const nlohmann::json& extra)
     : m_guard(asio::make_work_guard(m_context))
     , m_store(std::make_unique<standin_store>(m_context))
 {
@@ -258,6 +259,7 @@
                     { "metrics", textOf(node.metrics) } } },
             { "backend_server", m_backends[i]->endpoint() }, { "store", m_store->endpoint() },
             { "first_start", true }, { "threads", 1 + i % 2 }, { "grace_s", 6 } };
+        settings.update(extra);
         std::ofstream(node.settings) << "// Written by a test.\n" << settings.dump(4);
         m_nodes.push_back(node);
     }
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -81,7 +81,7 @@
     std::vector<standin_run> m_runs;
 };
 
-/** A backend server with its heartbeats. */
+/** A backend server with its heartbeats. Paths that end in "/fail" get its failure. */
 class standin_backend {
 public:
     standin_backend(asio::io_context& context, std::string service, std::string id, run_record& runs);
@@ -116,8 +116,9 @@
 /** Node processes, each with a backend server beside it, and the store. */
 class proxy_fleet {
 public:
-    /** \param services of the nodes, in order. */
-    explicit proxy_fleet(const std::vector<std::string>& services);
+    /** \param services of the nodes, in order. \param extra settings of every node, beside the usual ones. */
+    explicit proxy_fleet(
+        const std::vector<std::string>& services, const nlohmann::json& extra = nlohmann::json::object());
     ~proxy_fleet();
     proxy_fleet(const proxy_fleet&) = delete;
     proxy_fleet& operator=(const proxy_fleet&) = delete;
--- a/test/proxy_process/quiet_day.cpp
+++ b/test/proxy_process/quiet_day.cpp
@@ -34,8 +34,8 @@
 
 /** A fleet that serves on every node. */
 struct serving_fleet : proxy_fleet {
-    serving_fleet()
-        : proxy_fleet(nineServices())
+    explicit serving_fleet(const json& extra = json::object())
+        : proxy_fleet(nineServices(), extra)
     {
         configure(configuration(1));
         for (std::size_t node = 0; node < size(); ++node) {
@@ -166,3 +166,17 @@
     for (std::size_t node = 1; node < fleet.size(); ++node)
         CHECK(fleet.statusOf(node, "/browse/x", "k1") == 200);
 }
+
+TEST_CASE("Repeats keep to the limits of the settings")
+{
+    const json settings { { "retries", { { "share", 0 }, { "reserve", 0 }, { "window_s", 10 } } } };
+    serving_fleet fleet(settings);
+    constexpr std::size_t requests = 40;
+    for (std::size_t i = 0; i < requests; ++i)
+        CHECK(fleet.statusOf(i % fleet.size(), "/browse/fail", "k1") == 500);
+    std::size_t runs = 0;
+    for (const auto& run : fleet.runs().all())
+        runs += run.target == "/browse/fail" ? 1 : 0;
+    // A full bucket holds one token at least.
+    CHECK(runs <= requests + 1);
+}
