Accept connections in one place; drop what nothing calls

Cause: the node accepted links of other nodes in a loop of its own that tried again at once after a failure, so it would have spun for want of descriptors, while http_server had the same loop with a pause. connection_acceptor serves both. Reading of numbers and times in fields stood twice, so did the end of a request without further attempts. Removed: functions, members and a policy field without a caller (knowsHost, clearAvoidance, setColdUntil, lastUsed, linkCount, connectionCount, close, trim of the ledger, the slot wrapper of the gateway).

--- a/packages/decisions/src/allowance.cpp
+++ b/packages/decisions/src/allowance.cpp
@@ -44,13 +44,6 @@
     return { tokens, {} };
 }
 
-void allowance_ledger::trim(instant now)
-{
-    std::erase_if(m_buckets, [&](const auto& entry) {
-        return m_startsFull && now - entry.second.accruedAt > m_policy.idleForget;
-    });
-}
-
 allowance_wallet::allowance_wallet(allowance_policy policy)
     : m_policy(policy)
 {
--- a/packages/decisions/src/allowance.h
+++ b/packages/decisions/src/allowance.h
@@ -22,7 +22,6 @@
     std::uint32_t mostWanted = 4; ///< Tokens asked for at once.
     double shareOfLevel = 0.1; ///< Of a bucket that one node may take ahead of its need.
     duration demandMemory = std::chrono::seconds(1);
-    duration idleForget = std::chrono::seconds(60); ///< An unused bucket is full again by then at any rate.
 };
 
 /** The buckets that this node owns. Thread safety: one thread at a time. */
@@ -35,7 +34,6 @@
      * that the parts of a divided fleet, each with an owner, stay within the rate together. */
     allowance_grant grant(
         const organisation_limits& limits, std::uint32_t wanted, double reached, instant now);
-    void trim(instant now);
 
 private:
     struct bucket {
--- a/packages/decisions/src/backend_identity.h
+++ b/packages/decisions/src/backend_identity.h
@@ -52,9 +52,6 @@
     /** Precondition: isKnown(). */
     const backend_heartbeat& current() const { return *m_current; }
 
-    /** It is cold until \p until, as a health answer said. */
-    void setColdUntil(instant until) { m_coldUntil = until; }
-
 private:
     bool isSameStart(const backend_heartbeat& heartbeat) const;
 
--- a/packages/decisions/src/peer_state.h
+++ b/packages/decisions/src/peer_state.h
@@ -34,8 +34,6 @@
     /** Keeps requests away until \p until; a later time goes before an earlier one. */
     void avoidUntil(instant until);
 
-    /** Lets requests go there again. */
-    void clearAvoidance() { m_avoidedUntil.store({}, std::memory_order_relaxed); }
     bool isAvoided(instant now) const { return now < m_avoidedUntil.load(std::memory_order_relaxed); }
 
     /** The node beside it turned a request away because its backend server fails; a trial is welcome at
--- a/packages/decisions/src/routing_table.cpp
+++ b/packages/decisions/src/routing_table.cpp
@@ -75,8 +75,6 @@
     return nullptr;
 }
 
-bool routing_table::knowsHost(std::string_view host) const { return m_hosts.contains(lowerCase(host)); }
-
 handle<const organisation_limits> routing_table::organisationOf(std::string_view key) const
 {
     auto found = m_keys.find(sha256(key));
--- a/packages/decisions/src/routing_table.h
+++ b/packages/decisions/src/routing_table.h
@@ -82,9 +82,6 @@
     /** The rule of \p host with the longest prefix of \p path, or null. */
     handle<const routing_rule> match(std::string_view host, std::string_view path) const;
 
-    /** Whether any rule exists for \p host. */
-    bool knowsHost(std::string_view host) const;
-
     /** The organisation that holds \p key, or null. */
     handle<const organisation_limits> organisationOf(std::string_view key) const;
     handle<const organisation_limits> organisationNamed(const organisation_id& id) const;
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -173,7 +173,7 @@
         auto reason = left <= duration::zero() ? refusal_reason::deadlineExceeded
                                                : refusal_reason::backendServerDraining;
         asio::post(m_context, [this, request, reason] {
-            releaseSlot(std::nullopt, m_hooks.clock().monotonic);
+            m_queue.release(std::nullopt, m_hooks.clock().monotonic);
             refuse(*request, refusal(reason, "the backend server cannot start it any more"), false);
         });
         return;
@@ -205,7 +205,7 @@
     if (isForOther || isUnproved || info.hasEncodedBody) {
         connection->cancel();
         noteOutcome(request, backend_outcome::broken, now);
-        releaseSlot(std::nullopt, now);
+        m_queue.release(std::nullopt, now);
         forward_reply reply;
         reply.answer
             = mayHaveRun(refusal_reason::backendServerFailed, "the answer is not that of the request");
@@ -217,19 +217,19 @@
         keepConnection(connection, now);
     if (info.isOtherInstance) {
         m_identity.forget();
-        releaseSlot(std::nullopt, now);
+        m_queue.release(std::nullopt, now);
         refuse(request, refusal(refusal_reason::noBackendServer, "another server has the address"), true);
         return;
     }
     if (info.wasNotRun) {
-        releaseSlot(std::nullopt, now);
+        m_queue.release(std::nullopt, now);
         refuse(request, refusal(refusal_reason::backendServerShed, "the backend server rejected it"), true);
         return;
     }
     bool isFailure = answer.status >= firstServerError;
     noteOutcome(request, isFailure ? backend_outcome::failed : backend_outcome::served, now);
     m_hooks.answered(request.request.fingerprint);
-    releaseSlot(isFailure ? std::nullopt : std::optional(now - request.m_startedAt), now);
+    m_queue.release(isFailure ? std::nullopt : std::optional(now - request.m_startedAt), now);
     forward_reply reply;
     removeConnectionFields(answer);
     reply.answer = std::move(answer);
@@ -239,7 +239,7 @@
 
 void backend_gateway::takeFailure(gateway_request& request, http_call_failure failure, instant now)
 {
-    releaseSlot(std::nullopt, now);
+    m_queue.release(std::nullopt, now);
     if (failure == http_call_failure::notConnected) {
         // Nothing listens there: the server has ended, and what ran at the time may have ended it.
         noteCrash(now);
@@ -301,14 +301,14 @@
     case gateway_request::stage::granted:
         request.reply = nullptr;
         finish(request, {});
-        releaseSlot(std::nullopt, now);
+        m_queue.release(std::nullopt, now);
         break;
     case gateway_request::stage::running:
         request.reply = nullptr;
         if (request.request.repeats == repeat_rule::idempotent) {
             request.m_connection->cancel();
             finish(request, {});
-            releaseSlot(std::nullopt, now);
+            m_queue.release(std::nullopt, now);
         }
         break;
     case gateway_request::stage::done:
@@ -346,11 +346,6 @@
     }
 }
 
-void backend_gateway::releaseSlot(std::optional<duration> latency, instant now)
-{
-    m_queue.release(latency, now);
-}
-
 heartbeat_effect backend_gateway::takeHeartbeat(const backend_heartbeat& heartbeat)
 {
     auto now = m_hooks.clock().monotonic;
@@ -466,7 +461,7 @@
     }
     for (const auto& request : abandoned) {
         refuse(*request, refusal(refusal_reason::pathFailed, "the request did not follow its offer"), false);
-        releaseSlot(std::nullopt, now);
+        m_queue.release(std::nullopt, now);
     }
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](std::error_code error) {
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -129,7 +129,6 @@
     handle<http_client_connection> takeConnection(instant now);
     void keepConnection(const handle<http_client_connection>& connection, instant now);
     void applyColdness(instant now);
-    void releaseSlot(std::optional<duration> latency, instant now);
     void noteRunning();
     void schedule();
     void tick();
--- /dev/null
+++ b/packages/proxy/src/connection_acceptor.cpp
@@ -0,0 +1,65 @@
+#include "connection_acceptor.h"
+
+namespace pomelohub {
+
+namespace {
+
+    using tcp = asio::ip::tcp;
+
+    /** Pause after accept() failed, most likely for want of descriptors. */
+    constexpr duration retryDelay = std::chrono::milliseconds(50);
+
+} // namespace
+
+connection_acceptor::connection_acceptor(asio::io_context& context, hooks hooks)
+    : m_context(context)
+    , m_hooks(std::move(hooks))
+    , m_acceptor(context)
+    , m_retryTimer(context)
+{
+}
+
+std::optional<std::string> connection_acceptor::listen(const tcp::endpoint& address)
+{
+    std::error_code error;
+    m_acceptor.open(address.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(address, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return "cannot listen on " + address.address().to_string() + ":" + std::to_string(address.port())
+            + ": " + error.message();
+    accept();
+    return std::nullopt;
+}
+
+void connection_acceptor::accept()
+{
+    auto& context = m_hooks.placeConnection ? *m_hooks.placeConnection() : m_context;
+    m_acceptor.async_accept(context, [this](std::error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            if (m_hooks.failed)
+                m_hooks.failed(error);
+            retryLater();
+            return;
+        }
+        m_hooks.accepted(std::move(socket));
+        accept();
+    });
+}
+
+void connection_acceptor::retryLater()
+{
+    m_retryTimer.expires_after(retryDelay);
+    m_retryTimer.async_wait([this](std::error_code stopped) {
+        if (!stopped)
+            accept();
+    });
+}
+
+} // namespace pomelohub
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -7,8 +7,7 @@
 control_loop::control_loop(asio::io_context& context, instance_announcement self,
     std::vector<std::string> seeds, fleet_controller& controller, crash_quarantine& quarantine,
     fleet_store store, control_policy policy, event_log& log, proxy_metrics& metrics, hooks hooks)
-    : m_context(context)
-    , m_self(std::move(self))
+    : m_self(std::move(self))
     , m_seeds(std::move(seeds))
     , m_controller(controller)
     , m_quarantine(quarantine)
@@ -66,7 +65,6 @@
             return;
         }
         m_followDelay = m_policy.firstRetry;
-        m_hasState = true;
         m_controller.takeState(*state);
         follow();
     });
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -66,7 +66,6 @@
     void retryLater(asio::steady_timer& timer, duration& delay, std::function<void()> what);
     void noteStore(bool isAnswered, std::string_view call);
 
-    asio::io_context& m_context;
     instance_announcement m_self;
     std::vector<std::string> m_seeds;
     fleet_controller& m_controller;
@@ -84,7 +83,6 @@
     duration m_announceDelay;
     duration m_listDelay;
     bool m_isStoreLost = false;
-    bool m_hasState = false;
 };
 
 } // namespace pomelohub
--- a/packages/proxy/src/forward.cpp
+++ b/packages/proxy/src/forward.cpp
@@ -2,37 +2,14 @@
 
 #include "http_reader.h"
 
-#include <charconv>
-
 namespace pomelohub {
 
 namespace {
 
-    using std::chrono::microseconds;
-
     constexpr std::size_t unlimited = SIZE_MAX; // The listeners that took the message in have limited it.
 
     std::string numberText(std::uint64_t value) { return std::to_string(value); }
 
-    std::string timeText(duration time)
-    {
-        return std::to_string(
-            std::chrono::duration_cast<microseconds>(std::max(time, duration::zero())).count());
-    }
-
-    std::uint64_t numberOf(const peer_message& message, std::string_view name)
-    {
-        auto text = message.value(name);
-        std::uint64_t value = 0;
-        std::from_chars(text.data(), text.data() + text.size(), value);
-        return value;
-    }
-
-    duration timeOf(const peer_message& message, std::string_view name)
-    {
-        return microseconds(static_cast<std::int64_t>(numberOf(message, name)));
-    }
-
     std::optional<http_message> readWhole(http_parser_type type, std::string_view text, bool isHead)
     {
         std::optional<http_message> whole;
@@ -59,8 +36,8 @@
         { "nested", request.isNested ? "1" : "0" },
         { "repeat", request.isRepeat ? "1" : "0" },
         { "suspect-ok", request.acceptsSuspect ? "1" : "0" },
-        { "time-left", timeText(request.timeLeft) },
-        { "patience", timeText(request.patience) },
+        { "time-left", timeFieldText(request.timeLeft) },
+        { "patience", timeFieldText(request.patience) },
         { "fingerprint", numberText(request.fingerprint) },
     };
     message.payload = requestText(request.message);
@@ -76,14 +53,14 @@
         return std::nullopt;
     request.callerService = service_id(std::string(message.value("caller")));
     request.organisation = organisation_id(std::string(message.value("organisation")));
-    request.rank = static_cast<std::uint32_t>(numberOf(message, "rank"));
+    request.rank = static_cast<std::uint32_t>(message.number("rank"));
     request.repeats = message.value("once") == "0" ? repeat_rule::idempotent : repeat_rule::once;
     request.isNested = message.value("nested") == "1";
     request.isRepeat = message.value("repeat") == "1";
     request.acceptsSuspect = message.value("suspect-ok") == "1";
-    request.timeLeft = timeOf(message, "time-left");
-    request.patience = timeOf(message, "patience");
-    request.fingerprint = numberOf(message, "fingerprint");
+    request.timeLeft = message.time("time-left");
+    request.patience = message.time("patience");
+    request.fingerprint = message.number("fingerprint");
     return request;
 }
 
@@ -98,11 +75,11 @@
     const auto& report = reply.report;
     message.fields = {
         { "reached", reply.reachedBackend ? "1" : "0" },
-        { "avoid", timeText(reply.avoidFor) },
+        { "avoid", timeFieldText(reply.avoidFor) },
         { "in-use", numberText(report.inUse) },
         { "waiting", numberText(report.waiting) },
         { "slots", numberText(report.slots) },
-        { "latency", timeText(report.meanLatency) },
+        { "latency", timeFieldText(report.meanLatency) },
         { "cold", report.isCold ? "1" : "0" },
         { "suspect", report.isSuspect ? "1" : "0" },
     };
@@ -114,7 +91,7 @@
     message.fields.push_back({ "outcome", std::string(toText(refusal.outcome)) });
     message.fields.push_back({ "reason", std::string(toText(refusal.reason)) });
     message.fields.push_back({ "detail", refusal.detail });
-    message.fields.push_back({ "retry-after", timeText(refusal.retryAfter) });
+    message.fields.push_back({ "retry-after", timeFieldText(refusal.retryAfter) });
     return message;
 }
 
@@ -122,17 +99,16 @@
 {
     forward_reply reply;
     reply.reachedBackend = message.value("reached") == "1";
-    reply.avoidFor = timeOf(message, "avoid");
-    reply.report.inUse = static_cast<std::uint32_t>(numberOf(message, "in-use"));
-    reply.report.waiting = static_cast<std::uint32_t>(numberOf(message, "waiting"));
-    reply.report.slots = static_cast<std::uint32_t>(numberOf(message, "slots"));
-    reply.report.meanLatency = timeOf(message, "latency");
+    reply.avoidFor = message.time("avoid");
+    reply.report.inUse = static_cast<std::uint32_t>(message.number("in-use"));
+    reply.report.waiting = static_cast<std::uint32_t>(message.number("waiting"));
+    reply.report.slots = static_cast<std::uint32_t>(message.number("slots"));
+    reply.report.meanLatency = message.time("latency");
     reply.report.isCold = message.value("cold") == "1";
     reply.report.isSuspect = message.value("suspect") == "1";
     if (auto outcome = executionFromText(message.value("outcome"))) {
         auto reason = refusalReasonFromText(message.value("reason")).value_or(refusal_reason::pathFailed);
-        auto retryAfter
-            = std::chrono::duration_cast<std::chrono::milliseconds>(timeOf(message, "retry-after"));
+        auto retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(message.time("retry-after"));
         reply.answer
             = tl::unexpected(verdict { *outcome, reason, std::string(message.value("detail")), retryAfter });
         return reply;
--- a/packages/proxy/src/forward.h
+++ b/packages/proxy/src/forward.h
@@ -36,7 +36,7 @@
     backend_report report;
 };
 
-/** \param isOffer leaves the message out of the fields' exchange: it is the payload, sent after the grant. */
+/** The message is the payload, which an offer sends after the grant. */
 peer_message encodeForwardedRequest(const forwarded_request& request);
 
 /** Reads the fields, which come first in an offer. \return nothing when they cannot be read. */
--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -11,8 +11,6 @@
         << 20; ///< Bytes; a caller that does not read is not read from either.
     /** How long bytes that cross our close are still read, so that they do not reset the last answer. */
     constexpr duration lingerTime = std::chrono::milliseconds(500);
-    /** Pause after accept() failed, most likely for want of descriptors. */
-    constexpr duration acceptRetryDelay = std::chrono::milliseconds(50);
 
     int statusOf(http_read_error error)
     {
@@ -297,62 +295,27 @@
 }
 
 http_server::http_server(asio::io_context& context, hooks hooks)
-    : m_context(context)
-    , m_hooks(std::move(hooks))
-    , m_acceptor(context)
-    , m_retryTimer(context)
+    : m_hooks(std::move(hooks))
+    , m_acceptor(context,
+          { [this](tcp::socket socket) { take(std::move(socket)); }, nullptr, m_hooks.placeConnection })
 {
 }
 
 std::optional<std::string> http_server::listen(const tcp::endpoint& address)
 {
-    std::error_code error;
-    m_acceptor.open(address.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(address, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return "cannot listen on " + address.address().to_string() + ":" + std::to_string(address.port())
-            + ": " + error.message();
-    accept();
-    return std::nullopt;
+    return m_acceptor.listen(address);
 }
 
-void http_server::accept()
+void http_server::take(tcp::socket socket)
 {
-    auto* place = m_hooks.placeConnection ? m_hooks.placeConnection() : nullptr;
-    auto& context = place ? *place : m_context;
-    m_acceptor.async_accept(context, [this](std::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
-            return;
-        if (error) {
-            m_retryTimer.expires_after(acceptRetryDelay);
-            m_retryTimer.async_wait([this](std::error_code stopped) {
-                if (!stopped)
-                    accept();
-            });
-            return;
-        }
-        auto limits = m_hooks.limits();
-        if (m_connections < limits.maxConnections) {
-            std::error_code ignored; // Without the option answers are only slower.
-            socket.set_option(tcp::no_delay(true), ignored);
-            auto executor = socket.get_executor();
-            handle<http_server_connection> connection(
-                new http_server_connection(*this, std::move(socket), limits));
-            asio::dispatch(executor, [connection] { connection->start(); });
-        }
-        accept();
-    });
-}
-
-void http_server::close()
-{
-    std::error_code ignored; // The process is about to end.
-    m_acceptor.close(ignored);
+    auto limits = m_hooks.limits();
+    if (m_connections >= limits.maxConnections)
+        return;
+    std::error_code ignored; // Without the option answers are only slower.
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto executor = socket.get_executor();
+    handle<http_server_connection> connection(new http_server_connection(*this, std::move(socket), limits));
+    asio::dispatch(executor, [connection] { connection->start(); });
 }
 
 } // namespace pomelohub
--- a/packages/proxy/src/http_server.h
+++ b/packages/proxy/src/http_server.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "connection_acceptor.h"
 #include "http_reader.h"
 #include "rcu_cell.h"
 
@@ -63,7 +64,7 @@
         http_handler handler;
         std::function<http_server_limits()> limits; ///< Asked for each new connection.
         clock_hook clock;
-        /** Asked for the execution context of each new connection; null for that of the server. */
+        /** Asked for the execution context of each new connection; unset for that of the server. */
         std::function<asio::io_context*()> placeConnection;
     };
 
@@ -76,22 +77,16 @@
     void startDraining() { m_isDraining = true; }
     bool isDraining() const { return m_isDraining; }
 
-    /** Stops to accept. */
-    void close();
-
-    /** Open connections and requests without an answer. Thread safety: any thread. */
-    std::size_t connectionCount() const { return m_connections; }
+    /** Requests without an answer. Thread safety: any thread. */
     std::size_t pendingCount() const { return m_pending; }
 
 private:
     friend class http_server_connection;
 
-    void accept();
+    void take(asio::ip::tcp::socket socket);
 
-    asio::io_context& m_context;
     hooks m_hooks;
-    asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_retryTimer;
+    connection_acceptor m_acceptor;
     std::atomic<bool> m_isDraining { false };
     std::atomic<std::size_t> m_connections { 0 };
     std::atomic<std::size_t> m_pending { 0 };
--- a/packages/proxy/src/peer_forwarder.h
+++ b/packages/proxy/src/peer_forwarder.h
@@ -64,8 +64,6 @@
 
     const reachability& reached() const { return m_reached; }
 
-    std::size_t linkCount() const { return m_links.size(); }
-
     /** Ends links to nodes that are not in \p endpoints any more once their streams have ended. */
     void retain(const std::set<std::string>& endpoints);
 
--- a/packages/proxy/src/peer_link.cpp
+++ b/packages/proxy/src/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "peer_link.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace pomelohub {
 
@@ -61,6 +62,25 @@
     return {};
 }
 
+std::uint64_t peer_message::number(std::string_view name) const
+{
+    auto text = value(name);
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+duration peer_message::time(std::string_view name) const
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(number(name)));
+}
+
+std::string timeFieldText(duration time)
+{
+    auto span = std::max(time, duration::zero());
+    return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
+}
+
 void peer_call::commit()
 {
     m_isCommitted = true;
@@ -292,7 +312,7 @@
     else
         nghttp2_session_server_new2(&m_session, sessionCallbacks, this, option);
     nghttp2_option_del(option);
-    m_lastReceived = m_lastUsed = m_hooks.clock().monotonic;
+    m_lastReceived = m_hooks.clock().monotonic;
 }
 
 peer_link::~peer_link() { nghttp2_session_del(m_session); }
@@ -356,7 +376,6 @@
     call->m_hooks = std::move(hooks);
     call->m_payload = std::move(message.payload);
     call->m_isCommitted = !isOffer;
-    m_lastUsed = m_hooks.clock().monotonic;
     submitCall(*call, message.fields, isOffer);
     return call;
 }
--- a/packages/proxy/src/peer_link.h
+++ b/packages/proxy/src/peer_link.h
@@ -20,8 +20,17 @@
     std::string payload;
 
     std::string_view value(std::string_view name) const;
+
+    /** The value as a number; 0 when it is missing or none. */
+    std::uint64_t number(std::string_view name) const;
+
+    /** The value as a span of time, as timeFieldText() wrote it. */
+    duration time(std::string_view name) const;
 };
 
+/** Text of \p time in a field, in microseconds; spans that have passed are zero. */
+std::string timeFieldText(duration time);
+
 /** Why a stream ended without a reply. */
 enum class peer_failure {
     notSent, ///< The payload never left this node.
@@ -137,7 +146,6 @@
     bool isConnected() const { return m_isConnected && !m_isClosed; }
     bool isSilent() const { return m_isSilent; }
     std::size_t streamCount() const { return m_calls.size() + m_requests.size(); }
-    instant lastUsed() const { return m_lastUsed; }
 
 private:
     friend class peer_call;
@@ -170,7 +178,6 @@
     std::array<std::uint8_t, 16'384> m_input {};
     std::string m_output;
     instant m_lastReceived {};
-    instant m_lastUsed {};
     std::optional<instant> m_pingSentAt;
     bool m_isConnected = false;
     bool m_isWriting = false;
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -29,21 +29,9 @@
                    std::uint64_t below) mutable { return generator() % below; };
     }
 
-    std::string grantText(const allowance_grant& grant)
-    {
-        return std::to_string(
-            std::chrono::duration_cast<std::chrono::microseconds>(grant.retryAfter).count());
-    }
-
-    std::uint64_t numberIn(const peer_message& message, std::string_view name)
-    {
-        return std::strtoull(std::string(message.value(name)).c_str(), nullptr, 10);
-    }
-
     allowance_grant grantFrom(const peer_message& message)
     {
-        return { static_cast<std::uint32_t>(numberIn(message, "tokens")),
-            std::chrono::microseconds(numberIn(message, "retry-after")) };
+        return { static_cast<std::uint32_t>(message.number("tokens")), message.time("retry-after") };
     }
 
 } // namespace
@@ -155,15 +143,15 @@
     entryPolicy.retries = m_settings.retries;
     for (const auto& each : m_workers) {
         auto* asking = each.get();
-        each->entry = std::make_unique<request_entry>(each->context, m_settings.node, m_settings.service,
-            m_settings.dataCentre, m_surroundings.caller, m_quarantine, each->forwarder, entryPolicy, m_log,
-            m_metrics,
-            request_entry::hooks { m_clock, [this] { return m_controller.snapshot(); }, makeRandom(),
-                [this] { return m_gateway->repeatShare(); },
-                [this, asking](const handle<const organisation_limits>& limits, std::uint32_t wanted,
-                    duration timeout, std::function<void(std::optional<allowance_grant>)> done) {
-                    askAllowance(*asking, limits, wanted, timeout, std::move(done));
-                } });
+        each->entry
+            = std::make_unique<request_entry>(each->context, m_settings.service, m_settings.dataCentre,
+                m_surroundings.caller, m_quarantine, each->forwarder, entryPolicy, m_log, m_metrics,
+                request_entry::hooks { m_clock, [this] { return m_controller.snapshot(); }, makeRandom(),
+                    [this] { return m_gateway->repeatShare(); },
+                    [this, asking](const handle<const organisation_limits>& limits, std::uint32_t wanted,
+                        duration timeout, std::function<void(std::optional<allowance_grant>)> done) {
+                        askAllowance(*asking, limits, wanted, timeout, std::move(done));
+                    } });
     }
     if (auto error = listenAll())
         return error;
@@ -235,31 +223,19 @@
         if (auto error = each.server->listen(*address))
             return error;
     }
-    auto address = endpointFromText(m_settings.peersEndpoint);
-    try {
-        m_peerAcceptor = std::make_unique<tcp::acceptor>(first, *address);
-    } catch (const std::system_error& error) {
-        return "cannot listen on " + m_settings.peersEndpoint + ": " + error.what();
-    }
-    acceptPeers();
-    return std::nullopt;
-}
-
-void proxy_node::acceptPeers()
-{
-    m_peerAcceptor->async_accept([this](std::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
-            return;
-        if (!error) {
-            auto link = peer_link::makeAsked(std::move(socket), {},
-                { nullptr, nullptr, [this](const handle<peer_request>& request) { takePeerRequest(request); },
-                    m_clock });
-            link->start();
-        } else {
-            m_log.write(event_weight::failure, "peer_not_accepted", {}, { { "error", error.message() } });
-        }
-        acceptPeers();
-    });
+    m_peers = std::make_unique<connection_acceptor>(first,
+        connection_acceptor::hooks {
+            [this](tcp::socket socket) {
+                auto link = peer_link::makeAsked(std::move(socket), {},
+                    { nullptr, nullptr,
+                        [this](const handle<peer_request>& request) { takePeerRequest(request); }, m_clock });
+                link->start();
+            },
+            [this](std::error_code error) {
+                m_log.write(event_weight::failure, "peer_not_accepted", {}, { { "error", error.message() } });
+            },
+            nullptr });
+    return m_peers->listen(*endpointFromText(m_settings.peersEndpoint));
 }
 
 void proxy_node::takePeerRequest(const handle<peer_request>& request)
@@ -353,7 +329,7 @@
         request->reply({}); // The asking node knows a newer configuration; it falls back to its share.
         return;
     }
-    auto wanted = static_cast<std::uint32_t>(numberIn(request->message, "wanted"));
+    auto wanted = static_cast<std::uint32_t>(request->message.number("wanted"));
     auto now = m_clock().monotonic;
     auto snapshot = m_controller.snapshot();
     if (!standsIn(*m_workers.front(), *snapshot, limits->id, now)) {
@@ -362,7 +338,8 @@
     }
     auto grant = m_ledger.grant(*limits, wanted, reachedShare(*snapshot, now), now);
     request->reply(
-        { { { "tokens", std::to_string(grant.tokens) }, { "retry-after", grantText(grant) } }, "" });
+        { { { "tokens", std::to_string(grant.tokens) }, { "retry-after", timeFieldText(grant.retryAfter) } },
+            "" });
 }
 
 void proxy_node::askAllowance(worker& asking, const handle<const organisation_limits>& limits,
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -49,7 +49,6 @@
     struct worker;
 
     std::optional<std::string> listenAll();
-    void acceptPeers();
     void takePeerRequest(const handle<peer_request>& request);
     void takeForwarded(const handle<peer_request>& request);
     handle<const organisation_limits> limitsOf(const organisation_id& id) const;
@@ -85,7 +84,7 @@
     std::unique_ptr<http_server> m_backendCalls;
     std::unique_ptr<http_server> m_readiness;
     std::unique_ptr<http_server> m_metricsServer;
-    std::unique_ptr<asio::ip::tcp::acceptor> m_peerAcceptor;
+    std::unique_ptr<connection_acceptor> m_peers;
     asio::signal_set m_signals;
     asio::steady_timer m_stopTimer;
     asio::steady_timer m_reloadTimer;
--- a/packages/proxy/src/request_entry.cpp
+++ b/packages/proxy/src/request_entry.cpp
@@ -233,6 +233,7 @@
         return !m_context.organisation && m_context.snapshot->routes->hasOrganisations();
     }
     std::size_t nodeCount() const { return m_context.snapshot->nodes.size(); }
+
     /** Calls of a repeated run count as repeats. Which run sent a call is not known, so the share of repeats
      * among the runs decides. The call goes on in any case. */
     void chargeCallOfRepeat()
@@ -281,15 +282,7 @@
                 return;
             }
         }
-        if (m_fallback) {
-            answer(std::move(*m_fallback));
-            return;
-        }
-        auto refusal = m_lastRefusal.value_or(verdict { execution::notRun, refusal_reason::noBackendServer,
-            "no backend server of " + m_service.text() + " is known", {} });
-        if (m_mayHaveRun)
-            refusal.outcome = execution::mayHaveRun;
-        refuse(withRetryAfter(refusal), "choice");
+        endWithBest("choice");
     }
 
     verdict withRetryAfter(verdict refusal) const
@@ -396,14 +389,14 @@
         if (!m_attempts.empty())
             return; // A second attempt is under way already.
         if (!mayReachAnother()) {
-            endWithBest();
+            endWithBest("attempt");
             return;
         }
         withRepeat([self = handle<exchange>(this), cause = std::string(cause)](bool isGranted) {
             if (!self->m_attempts.empty())
                 return;
             if (!isGranted) {
-                self->endWithBest();
+                self->endWithBest("attempt");
                 return;
             }
             self->m_entry.m_log.write(event_weight::failure, "retried", self->id(), { { "cause", cause } });
@@ -412,17 +405,19 @@
         });
     }
 
-    /** Ends the request with the best that its attempts brought. */
-    void endWithBest()
+    /** Ends the request with the best that its attempts brought. \param by what found that no more can be
+     * done. */
+    void endWithBest(std::string_view by)
     {
         if (m_fallback) {
             answer(std::move(*m_fallback));
             return;
         }
-        auto refusal = m_lastRefusal.value_or(verdict {});
+        auto refusal = m_lastRefusal.value_or(verdict { execution::notRun, refusal_reason::noBackendServer,
+            "no backend server of " + m_service.text() + " is known", {} });
         if (m_mayHaveRun)
             refusal.outcome = execution::mayHaveRun;
-        refuse(withRetryAfter(refusal), "attempt");
+        refuse(withRetryAfter(refusal), by);
     }
 
     void takeRefusal(const peer_state& peer, const verdict& refusal, bool reached, instant present)
@@ -436,7 +431,7 @@
         m_mayHaveRun = m_mayHaveRun || mayHaveRun;
         m_lastRefusal = refusal;
         if (mayHaveRun && !isIdempotent()) {
-            endWithBest();
+            endWithBest("attempt");
             return;
         }
         if (reached) {
@@ -530,11 +525,10 @@
     bool m_isDone = false;
 };
 
-request_entry::request_entry(asio::io_context& context, node_id self, service_id ownService,
-    data_centre_id dataCentre, const dialect& dialect, const crash_quarantine& quarantine,
-    peer_forwarder& forwarder, entry_policy policy, event_log& log, proxy_metrics& metrics, hooks hooks)
+request_entry::request_entry(asio::io_context& context, service_id ownService, data_centre_id dataCentre,
+    const dialect& dialect, const crash_quarantine& quarantine, peer_forwarder& forwarder,
+    entry_policy policy, event_log& log, proxy_metrics& metrics, hooks hooks)
     : m_context(context)
-    , m_self(std::move(self))
     , m_ownService(std::move(ownService))
     , m_dataCentre(std::move(dataCentre))
     , m_dialect(dialect)
--- a/packages/proxy/src/request_entry.h
+++ b/packages/proxy/src/request_entry.h
@@ -60,7 +60,7 @@
             askAllowance;
     };
 
-    request_entry(asio::io_context& context, node_id self, service_id ownService, data_centre_id dataCentre,
+    request_entry(asio::io_context& context, service_id ownService, data_centre_id dataCentre,
         const dialect& dialect, const crash_quarantine& quarantine, peer_forwarder& forwarder,
         entry_policy policy, event_log& log, proxy_metrics& metrics, hooks hooks);
 
@@ -71,7 +71,6 @@
     friend class exchange;
 
     asio::io_context& m_context;
-    node_id m_self;
     service_id m_ownService;
     data_centre_id m_dataCentre;
     const dialect& m_dialect;
