Search for an idle slot, a short wait, then a server that fails some; ask suspects that recovered sooner

Besides, a gateway fed the requests that waited to its server right after a failure, requests served since a suspicion did not count as evidence, and the choice compared mean latencies that differ with the mix of requests, so that sound servers were left out. Change: backend_search orders the attempts: an idle slot, the shortest announced wait, servers that fail a part of their requests, a longer wait that still meets the objective, a refusal. What waits when a server becomes suspect is given back unrun. Latency counts only where it is twice that of the peers, and lapses with the age of the report. A node that hears of a suspicion sends trials.

--- /dev/null
+++ b/packages/decisions/src/backend_search.cpp
@@ -0,0 +1,111 @@
+#include "backend_search.h"
+
+#include <algorithm>
+
+namespace pomelohub {
+
+namespace {
+
+    duration longestWait(const search_view& view, double objectiveShare)
+    {
+        return std::min(view.left, std::chrono::duration_cast<duration>(view.objective * objectiveShare));
+    }
+
+} // namespace
+
+backend_search::backend_search(search_policy policy, data_centre_id ownDataCentre)
+    : m_policy(policy)
+    , m_ownDataCentre(std::move(ownDataCentre))
+{
+}
+
+handle<peer_state> backend_search::choose(
+    const search_view& view, bool includeAvoided, const choice_random_hook& random, instant now) const
+{
+    return choosePeer(view.candidates, view.evacuated,
+        { m_ownDataCentre, m_tried, view.repeats, includeAvoided }, m_policy.choice, random, now);
+}
+
+handle<peer_state> backend_search::takeShortestWait(const search_view& view, duration longest, instant now)
+{
+    std::erase_if(m_waits, [&](const waiting_peer& each) {
+        bool isKnown
+            = std::find(view.candidates.begin(), view.candidates.end(), each.peer) != view.candidates.end();
+        return !isKnown || !takesOrdinaryRequests(*each.peer, view.evacuated, now);
+    });
+    auto shortest = std::min_element(m_waits.begin(), m_waits.end(),
+        [](const waiting_peer& left, const waiting_peer& right) { return left.wait < right.wait; });
+    if (shortest == m_waits.end() || shortest->wait > longest)
+        return nullptr;
+    auto peer = shortest->peer;
+    m_waits.erase(shortest);
+    return peer;
+}
+
+search_step backend_search::takeStep(const search_view& view, const choice_random_hook& random, instant now)
+{
+    switch (m_stage) {
+    case stage::idleSlot:
+        if (m_idleTries++ < m_policy.idleTries)
+            return { choose(view, false, random, now), std::min(view.left, m_policy.idlePatience), false };
+        return {};
+    case stage::shortWait: {
+        auto wait = longestWait(view, m_policy.shortWaitShare);
+        if (auto peer = takeShortestWait(view, wait, now))
+            return { peer, wait, false };
+        return { choose(view, false, random, now), wait, false };
+    }
+    case stage::suspect:
+        return { choose(view, true, random, now), longestWait(view, m_policy.longWaitShare), true };
+    case stage::longWait: {
+        auto wait = longestWait(view, m_policy.longWaitShare);
+        return { takeShortestWait(view, wait, now), wait, false };
+    }
+    }
+    return {};
+}
+
+void backend_search::enterNextStage()
+{
+    m_stage = static_cast<stage>(static_cast<int>(m_stage) + 1);
+    // Servers that were turned down as suspect or avoided may be asked once more.
+    if (m_stage == stage::suspect)
+        m_tried = m_reached;
+}
+
+std::optional<search_step> backend_search::next(
+    const search_view& view, const choice_random_hook& random, instant now)
+{
+    if (m_refusals >= m_policy.mostRefusals)
+        return std::nullopt;
+    for (;;) {
+        auto step = takeStep(view, random, now);
+        if (step.peer) {
+            m_tried.push_back(step.peer->announcement.node);
+            return step;
+        }
+        if (m_stage == stage::longWait)
+            return std::nullopt;
+        enterNextStage();
+    }
+}
+
+handle<peer_state> backend_search::second(
+    const search_view& view, const choice_random_hook& random, instant now)
+{
+    auto peer = choose(view, false, random, now);
+    if (peer)
+        m_tried.push_back(peer->announcement.node);
+    return peer;
+}
+
+void backend_search::noteRefused(const handle<peer_state>& peer, duration wait)
+{
+    ++m_refusals;
+    if (wait > duration::zero())
+        m_waits.push_back({ peer, wait });
+}
+
+void backend_search::noteReached(const node_id& node) { m_reached.push_back(node); }
+
+} // namespace pomelohub
--- a/packages/decisions/src/outcome_judge.cpp
+++ b/packages/decisions/src/outcome_judge.cpp
@@ -21,7 +21,7 @@
 
 outcome_judge::outcome_judge(judge_policy policy)
     : m_policy(policy)
-    , m_trialsToClear(policy.trialsToClear)
+    , m_servedToClear(policy.servedToClear)
 {
 }
 
@@ -39,31 +39,33 @@
     return 0;
 }
 
-bool outcome_judge::note(backend_outcome outcome, bool wasTrial, instant now)
+bool outcome_judge::note(backend_outcome outcome, instant startedAt, instant now)
 {
-    m_failing = m_failing * m_policy.memory + weightOf(outcome) * (1 - m_policy.memory);
-    if (outcome != backend_outcome::served)
+    bool isServed = outcome == backend_outcome::served;
+    m_evidence = m_evidence * m_policy.memory + weightOf(outcome) * (1 - m_policy.memory);
+    m_failingShare = m_failingShare * m_policy.memory + (isServed ? 0 : 1 - m_policy.memory);
+    if (!isServed)
         m_lastFailure = now;
     if (m_isSuspect) {
-        if (outcome != backend_outcome::served) {
-            m_servedTrials = 0;
+        if (!isServed) {
+            m_servedInRow = 0;
             return false;
         }
         // Requests from before the suspicion prove nothing of the present.
-        if (!wasTrial || ++m_servedTrials < m_trialsToClear)
+        if (startedAt < m_suspectSince || ++m_servedInRow < m_servedToClear)
             return false;
         m_isSuspect = false;
-        m_failing = 0;
+        m_evidence = 0;
         return true;
     }
-    if (m_failing < m_policy.suspectAbove)
+    if (m_evidence < m_policy.suspectAbove)
         return false;
     bool isRelapse = m_suspectSince != instant {} && now - m_suspectSince < m_policy.relapseWindow;
-    m_trialsToClear
-        = isRelapse ? std::min(m_trialsToClear + 1, m_policy.mostTrialsToClear) : m_policy.trialsToClear;
+    m_servedToClear
+        = isRelapse ? std::min(m_servedToClear + 1, m_policy.mostServedToClear) : m_policy.servedToClear;
     m_isSuspect = true;
     m_suspectSince = now;
-    m_servedTrials = 0;
+    m_servedInRow = 0;
     m_nextTrial = now + m_policy.trialInterval;
     return true;
 }
@@ -78,10 +80,11 @@
 
 void outcome_judge::reset()
 {
-    m_failing = 0;
+    m_evidence = 0;
+    m_failingShare = 0;
     m_isSuspect = false;
-    m_servedTrials = 0;
-    m_trialsToClear = m_policy.trialsToClear;
+    m_servedInRow = 0;
+    m_servedToClear = m_policy.servedToClear;
     m_suspectSince = {};
 }
 
--- a/packages/decisions/src/outcome_judge.h
+++ b/packages/decisions/src/outcome_judge.h
@@ -25,8 +25,8 @@
     double brokenWeight = 1.0;
     double suspectAbove = 0.27; ///< Estimated failing share that makes the server suspect.
     duration trialInterval = std::chrono::milliseconds(600); ///< Between trials of a suspect server.
-    std::uint32_t trialsToClear = 2; ///< Trials served in a row that clear it.
-    std::uint32_t mostTrialsToClear = 6; ///< Each relapse asks one more, up to this.
+    std::uint32_t servedToClear = 2; ///< Requests served in a row that clear it.
+    std::uint32_t mostServedToClear = 6; ///< Each relapse asks one more, up to this.
     duration quietToClear
         = std::chrono::milliseconds(2500); ///< Without a failure a suspect server gets any request.
     duration relapseWindow = std::chrono::seconds(10); ///< A suspicion within it counts as a relapse.
@@ -37,8 +37,9 @@
 public:
     explicit outcome_judge(judge_policy policy = {});
 
-    /** Notes an outcome. \return whether the server became suspect or was cleared by it. */
-    bool note(backend_outcome outcome, bool wasTrial, instant now);
+    /** Notes the outcome of a request that was sent to the server at \p startedAt. \return whether the server
+     * became suspect or was cleared by it. */
+    bool note(backend_outcome outcome, instant startedAt, instant now);
 
     bool isSuspect() const { return m_isSuspect; }
 
@@ -54,16 +55,18 @@
     /** Another start of the server: what was seen no longer counts. */
     void reset();
 
-    double failingShare() const { return m_failing; }
+    /** Of the last requests. */
+    double failingShare() const { return m_failingShare; }
 
 private:
     double weightOf(backend_outcome outcome) const;
 
     judge_policy m_policy;
-    double m_failing = 0;
+    double m_evidence = 0; ///< Of failure; outcomes that prove more weigh more.
+    double m_failingShare = 0;
     bool m_isSuspect = false;
-    std::uint32_t m_servedTrials = 0;
-    std::uint32_t m_trialsToClear;
+    std::uint32_t m_servedInRow = 0; ///< Of those that were sent since it became suspect.
+    std::uint32_t m_servedToClear;
     instant m_suspectSince {};
     instant m_nextTrial {};
     instant m_lastFailure {};
--- a/packages/decisions/src/peer_choice.h
+++ b/packages/decisions/src/peer_choice.h
@@ -18,6 +18,10 @@
     duration otherDataCentreCost = std::chrono::milliseconds(300);
     std::size_t sampleSize = 16; ///< Candidates that are compared; bounds the cost in large services.
     double jitter = 0.2; ///< Keeps nodes with the same view from choosing alike.
+    /** A server counts as slow from this many times the latency of its peers; below, requests differ more
+     * than servers do. */
+    double slowFactor = 2;
+    double leastServedShare = 0.1; ///< Bounds the cost of a server that fails all requests.
 };
 
 /** What the choice depends on besides the candidates. */
@@ -28,8 +32,12 @@
     bool includeAvoided = false; ///< Also nodes that are avoided, when nothing else is left.
 };
 
+/** Whether \p peer is neither avoided, silent, suspect nor in an evacuated data centre. Thread safety: any
+ * thread. */
+bool takesOrdinaryRequests(const peer_state& peer, const std::set<data_centre_id>& evacuated, instant now);
+
 /** \return the best of the candidates, or null when none is left. Thread safety: any thread. */
-handle<peer_state> choosePeer(const std::vector<handle<peer_state>>& candidates,
+handle<peer_state> choosePeer(std::span<const handle<peer_state>> candidates,
     const std::set<data_centre_id>& evacuated, const peer_choice_request& request,
     const peer_choice_policy& policy, const choice_random_hook& random, instant now);
 
--- a/packages/decisions/src/peer_state.cpp
+++ b/packages/decisions/src/peer_state.cpp
@@ -3,6 +3,7 @@
 #include "hashing.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomelohub {
 
@@ -14,6 +15,10 @@
     /** Assumed before a peer has reported. */
     constexpr duration unknownLatency = std::chrono::milliseconds(200);
     constexpr std::uint32_t unknownSlots = 4;
+    /** A latency above the assumed one counts half after this time without a report. */
+    constexpr std::chrono::duration<double> latencyHalfLife = std::chrono::seconds(2);
+    /** Until the first trial of a server that was reported suspect; the node beside it paces them. */
+    constexpr duration reportedTrialDelay = std::chrono::milliseconds(200);
     /** Failures of servers that turn gray last seconds. */
     constexpr duration suspicionLifetime = std::chrono::milliseconds(2500);
 
@@ -26,9 +31,12 @@
     m_load.store(load > own ? load - own : 0, std::memory_order_relaxed);
     m_slots.store(report.slots, std::memory_order_relaxed);
     m_meanLatency.store(report.meanLatency, std::memory_order_relaxed);
+    m_failingShare.store(report.failingShare, std::memory_order_relaxed);
     m_reportedAt.store(now, std::memory_order_relaxed);
     if (!report.isSuspect)
         m_isSuspect.store(false, std::memory_order_relaxed);
+    else if (!isSuspect())
+        noteSuspect(now + reportedTrialDelay, now);
 }
 
 void peer_state::noteSuspect(instant nextTrial, instant now)
@@ -55,14 +63,23 @@
         && !m_avoidedUntil.compare_exchange_weak(present, until, std::memory_order_relaxed)) { }
 }
 
-duration peer_state::estimatedAnswer(instant now) const
+duration peer_state::meanLatency(instant now) const
 {
-    auto slots = m_slots.load(std::memory_order_relaxed);
     auto mean = m_meanLatency.load(std::memory_order_relaxed);
+    if (mean == duration::zero())
+        return unknownLatency;
+    if (mean < unknownLatency)
+        return mean;
+    std::chrono::duration<double> age = now - m_reportedAt.load(std::memory_order_relaxed);
+    auto remembered = std::chrono::duration_cast<duration>(mean * std::exp2(-age / latencyHalfLife));
+    return std::max(remembered, unknownLatency);
+}
+
+duration peer_state::estimatedAnswer(duration mean, instant now) const
+{
+    auto slots = m_slots.load(std::memory_order_relaxed);
     if (slots == 0)
         slots = unknownSlots;
-    if (mean == duration::zero())
-        mean = unknownLatency;
     double load = inFlight.load(std::memory_order_relaxed);
     if (now - m_reportedAt.load(std::memory_order_relaxed) < reportLifetime)
         load += m_load.load(std::memory_order_relaxed);
--- a/packages/decisions/src/peer_state.h
+++ b/packages/decisions/src/peer_state.h
@@ -17,6 +17,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
     duration meanLatency {};
+    double failingShare = 0; ///< Of the last requests there.
     bool isCold = false;
     bool isSuspect = false; ///< Fails requests; only trials are welcome.
     bool operator==(const backend_report&) const = default;
@@ -47,8 +48,17 @@
     /** Whether the suspicion is so old that it says nothing about the present. */
     bool isSuspicionOld(instant now) const;
 
-    /** Estimated time until an answer to a request that is sent at \p now. */
-    duration estimatedAnswer(instant now) const;
+    /** Mean time of a request there, as last reported. What is long for a server lapses with the age of the
+     * report, so that a server that was slow is asked again. */
+    duration meanLatency(instant now) const;
+
+    /** Estimated time until an answer to a request that is sent at \p now, where requests of the service take
+     * \p mean. */
+    duration estimatedAnswer(duration mean, instant now) const;
+    duration estimatedAnswer(instant now) const { return estimatedAnswer(meanLatency(now), now); }
+
+    /** Of the last requests there, as last reported. */
+    double failingShare() const { return m_failingShare.load(std::memory_order_relaxed); }
 
     const instance_announcement announcement;
     std::atomic<std::uint32_t> inFlight { 0 }; ///< Requests of this node.
@@ -58,6 +68,7 @@
     std::atomic<std::uint32_t> m_load { 0 }; ///< In use and waiting, less what this node had in flight.
     std::atomic<std::uint32_t> m_slots { 0 };
     std::atomic<duration> m_meanLatency { duration::zero() };
+    std::atomic<double> m_failingShare { 0 };
     std::atomic<instant> m_reportedAt { instant {} };
     std::atomic<instant> m_avoidedUntil { instant {} };
     std::atomic<bool> m_isSuspect { false };
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -79,7 +79,8 @@
         return {};
     bool mayTry = request.request.repeats == repeat_rule::idempotent || m_judge.isQuiet(now);
     request.m_isTrial = mayTry && m_judge.takeTrial(now);
-    if (request.m_isTrial || request.request.acceptsSuspect)
+    bool isBearable = m_judge.failingShare() <= m_policy.mostFailingShare;
+    if (request.m_isTrial || (request.request.acceptsSuspect && isBearable))
         return {};
     return notRun(refusal_reason::backendServerFailed, "the backend server fails requests");
 }
@@ -239,11 +240,11 @@
 
 void backend_gateway::takeFailure(gateway_request& request, http_call_failure failure, instant now)
 {
-    m_queue.release(std::nullopt, now);
     if (failure == http_call_failure::notConnected) {
         // Nothing listens there: the server has ended, and what ran at the time may have ended it.
         noteCrash(now);
         m_identity.forget();
+        m_queue.release(std::nullopt, now);
         refuse(request, refusal(refusal_reason::noBackendServer, "the backend server takes no connection"),
             false);
         return;
@@ -253,6 +254,7 @@
         noteOutcome(request, backend_outcome::broken, now);
         m_brokenRuns.push_back({ request.request.fingerprint, now });
     }
+    m_queue.release(std::nullopt, now); // After the judgement, which may give back what waits.
     forward_reply reply;
     auto reason = isLate ? refusal_reason::deadlineExceeded : refusal_reason::backendServerFailed;
     reply.answer = mayHaveRun(reason,
@@ -270,12 +272,16 @@
                 { "trial", request.m_isTrial }, { "in_use", m_queue.inUse() },
                 { "failing_percent", static_cast<std::uint64_t>(m_judge.failingShare() * 100) } });
     }
-    if (!m_judge.note(outcome, request.m_isTrial, now))
+    if (!m_judge.note(outcome, request.m_startedAt, now))
         return;
     m_log.write(event_weight::always, m_judge.isSuspect() ? "backend_suspect" : "backend_cleared",
         request.request.id,
         { { "backend", m_identity.isKnown() ? m_identity.current().id.text() : "" },
             { "failing_percent", static_cast<std::uint64_t>(m_judge.failingShare() * 100) } });
+    // Those that wait have not run and may find a server that serves them.
+    if (m_judge.isSuspect())
+        m_queue.refuseAll(
+            refusal(refusal_reason::backendServerFailed, "the backend server fails requests"), now);
 }
 
 void backend_gateway::noteCrash(instant now)
@@ -413,7 +419,8 @@
 backend_report backend_gateway::report() const
 {
     return { m_queue.inUse(), static_cast<std::uint32_t>(m_queue.waiting()), m_queue.slots(),
-        m_queue.meanLatency(), m_identity.isCold(m_hooks.clock().monotonic), m_judge.isSuspect() };
+        m_queue.meanLatency(), m_judge.failingShare(), m_identity.isCold(m_hooks.clock().monotonic),
+        m_judge.isSuspect() };
 }
 
 void backend_gateway::noteRunning()
--- a/packages/proxy/src/forward.cpp
+++ b/packages/proxy/src/forward.cpp
@@ -80,6 +80,7 @@
         { "waiting", numberText(report.waiting) },
         { "slots", numberText(report.slots) },
         { "latency", timeFieldText(report.meanLatency) },
+        { "failing-percent", numberText(static_cast<std::uint64_t>(report.failingShare * 100)) },
         { "cold", report.isCold ? "1" : "0" },
         { "suspect", report.isSuspect ? "1" : "0" },
     };
@@ -104,6 +105,7 @@
     reply.report.waiting = static_cast<std::uint32_t>(message.number("waiting"));
     reply.report.slots = static_cast<std::uint32_t>(message.number("slots"));
     reply.report.meanLatency = message.time("latency");
+    reply.report.failingShare = static_cast<double>(message.number("failing-percent")) / 100;
     reply.report.isCold = message.value("cold") == "1";
     reply.report.isSuspect = message.value("suspect") == "1";
     if (auto outcome = executionFromText(message.value("outcome"))) {
--- a/packages/proxy/src/request_entry.cpp
+++ b/packages/proxy/src/request_entry.cpp
@@ -32,6 +32,7 @@
         : m_entry(entry)
         , m_responder(std::move(responder))
         , m_timer(entry.m_context)
+        , m_search(entry.m_policy.search, entry.m_dataCentre)
     {
     }
 
@@ -142,7 +143,10 @@
 
     void hedge(instant present)
     {
-        auto peer = m_attempts.size() == 1 ? choose(present, false) : nullptr;
+        if (m_attempts.size() != 1)
+            return;
+        auto snapshot = m_entry.m_hooks.snapshot();
+        auto peer = m_search.second(searchView(*snapshot, present), m_entry.m_hooks.random, present);
         if (!peer)
             return;
         m_entry.m_log.write(event_weight::failure, "hedged", id(),
@@ -150,7 +154,7 @@
                 { "second", peer->announcement.node.text() },
                 { "waited", present - m_attempts.front().startedAt } });
         m_entry.m_metrics.noteHedge();
-        send(peer, present, m_entry.m_policy.firstPatience);
+        send({ peer, m_entry.m_policy.hedgePatience, false }, present);
     }
 
     void takeAllowance(instant present)
@@ -253,36 +257,24 @@
     bool mayBeTrial() const { return isIdempotent() && m_reached == 0; }
     bool mayReachAnother() const { return m_reached < m_context.rule->maxAttempts; }
 
-    handle<peer_state> choose(instant present, bool includeAvoided)
+    search_view searchView(const fleet_snapshot& snapshot, instant present) const
     {
-        // Peers change while a request waits, so the present view is read.
-        auto snapshot = m_entry.m_hooks.snapshot();
-        auto found = snapshot->services.find(m_service);
-        if (found == snapshot->services.end())
-            return nullptr;
-        return choosePeer(found->second, snapshot->evacuated,
-            { m_entry.m_dataCentre, m_tried, mayBeTrial() ? repeat_rule::idempotent : repeat_rule::once,
-                includeAvoided },
-            m_entry.m_policy.choice, m_entry.m_hooks.random, present);
+        auto found = snapshot.services.find(m_service);
+        std::span<const handle<peer_state>> candidates;
+        if (found != snapshot.services.end())
+            candidates = found->second;
+        return { candidates, snapshot.evacuated, mayBeTrial() ? repeat_rule::idempotent : repeat_rule::once,
+            m_context.rule->objective, m_deadline - present };
     }
 
     void sendNext(instant present)
     {
-        if (m_freeRefusals < m_entry.m_policy.freeRefusals) {
-            auto peer = choose(present, m_isLastResort);
-            if (!peer && !m_isLastResort) {
-                // Everyone refused: now suspect servers and long waits are better than nothing.
-                m_isLastResort = true;
-                m_tried = m_reachedNodes;
-                peer = choose(present, true);
-            }
-            if (peer) {
-                auto left = m_deadline - present;
-                send(peer, present, m_isLastResort ? left : std::min(left, m_entry.m_policy.firstPatience));
-                return;
-            }
-        }
-        endWithBest("choice");
+        // Peers change while a request waits, so the present view is read.
+        auto snapshot = m_entry.m_hooks.snapshot();
+        if (auto step = m_search.next(searchView(*snapshot, present), m_entry.m_hooks.random, present))
+            send(*step, present);
+        else
+            endWithBest("choice");
     }
 
     verdict withRetryAfter(verdict refusal) const
@@ -292,8 +284,9 @@
         return refusal;
     }
 
-    void send(const handle<peer_state>& peer, instant present, duration patience)
+    void send(const search_step& step, instant present)
     {
+        const auto& peer = step.peer;
         forwarded_request request;
         request.id = id();
         request.service = m_service;
@@ -303,19 +296,19 @@
         request.rank = rank();
         request.repeats = m_context.rule->repeats;
         request.isNested = isNested();
-        request.isRepeat = m_isRepeat || !m_reachedNodes.empty();
-        request.acceptsSuspect = m_isLastResort;
+        request.isRepeat = m_isRepeat || m_search.hasReached();
+        request.acceptsSuspect = step.acceptsSuspect;
         request.timeLeft = m_deadline - present;
-        request.patience = patience;
+        request.patience = step.patience;
         request.fingerprint = m_context.fingerprint;
         request.message = m_context.message;
-        m_tried.push_back(peer->announcement.node);
         ++m_reached;
         ++m_sent;
         m_entry.m_log.write(event_weight::routine, "sent", id(),
             { { "peer", peer->announcement.node.text() }, { "service", m_service.text() },
                 { "configuration", m_context.snapshot->routes->version }, { "attempt", m_sent },
-                { "estimate", peer->estimatedAnswer(present) }, { "last_resort", m_isLastResort } });
+                { "estimate", peer->estimatedAnswer(present) }, { "patience", step.patience },
+                { "accepts_suspect", step.acceptsSuspect } });
         auto ticket = m_entry.m_forwarder.forward(
             peer, request, [self = handle<exchange>(this), peer](forward_reply reply) {
                 self->takeReply(peer, std::move(reply));
@@ -344,14 +337,14 @@
         else if (reply.avoidFor > duration::zero())
             peer->avoidUntil(present + reply.avoidFor);
         if (reply.reachedBackend)
-            m_reachedNodes.push_back(peer->announcement.node);
+            m_search.noteReached(peer->announcement.node);
         bool wasNotRun = !reply.answer && reply.answer.error().outcome == execution::notRun;
         if (wasNotRun)
             --m_reached;
         if (reply.answer)
             takeAnswer(std::move(*reply.answer));
         else
-            takeRefusal(*peer, reply.answer.error(), reply.reachedBackend, present);
+            takeRefusal(peer, reply.answer.error(), reply.reachedBackend, present);
     }
 
     void takeAnswer(http_message&& message)
@@ -420,10 +413,10 @@
         refuse(withRetryAfter(refusal), by);
     }
 
-    void takeRefusal(const peer_state& peer, const verdict& refusal, bool reached, instant present)
+    void takeRefusal(const handle<peer_state>& peer, const verdict& refusal, bool reached, instant present)
     {
         m_entry.m_log.write(event_weight::failure, "attempt_failed", id(),
-            { { "peer", peer.announcement.node.text() }, { "reason", toText(refusal.reason) },
+            { { "peer", peer->announcement.node.text() }, { "reason", toText(refusal.reason) },
                 { "outcome", toText(refusal.outcome) }, { "detail", refusal.detail },
                 { "reached", reached } });
         m_entry.m_metrics.noteAttemptFailure(refusal.reason);
@@ -438,7 +431,8 @@
             repeatAfterArrival(toText(refusal.reason));
             return;
         }
-        ++m_freeRefusals;
+        bool isWait = refusal.reason == refusal_reason::backendServerBusy;
+        m_search.noteRefused(peer, isWait ? refusal.retryAfter : duration::zero());
         if (m_attempts.empty() && !m_isAsking)
             sendNext(present);
     }
@@ -508,18 +502,15 @@
     handle<http_responder> m_responder;
     asio::steady_timer m_timer;
     entry_context m_context;
+    backend_search m_search;
     service_id m_service;
     instant m_deadline {};
     std::vector<attempt> m_attempts;
-    std::vector<node_id> m_tried;
-    std::vector<node_id> m_reachedNodes; ///< Their backend servers had the request.
     std::optional<http_message> m_fallback; ///< A failure that is passed on if no attempt does better.
     std::optional<verdict> m_lastRefusal;
     std::uint32_t m_reached = 0; ///< Backend servers that ran or may run the request.
     std::uint32_t m_sent = 0;
-    std::uint32_t m_freeRefusals = 0;
     bool m_isRepeat = false; ///< A call of a run that was a repeat itself.
-    bool m_isLastResort = false;
     bool m_isAsking = false;
     bool m_mayHaveRun = false;
     bool m_isDone = false;
--- a/packages/proxy/src/request_entry.h
+++ b/packages/proxy/src/request_entry.h
@@ -6,10 +6,10 @@
 #pragma once
 
 #include "allowance.h"
+#include "backend_search.h"
 #include "dialect.h"
 #include "filter_chain.h"
 #include "http_server.h"
-#include "peer_choice.h"
 #include "peer_forwarder.h"
 #include "proxy_metrics.h"
 #include "retry_allowance.h"
@@ -32,9 +32,8 @@
 entry_chain makeEntryChain(const crash_quarantine& quarantine);
 
 struct entry_policy {
-    peer_choice_policy choice;
-    duration firstPatience = std::chrono::milliseconds(250); ///< Wait for a slot while others may be free.
-    std::uint32_t freeRefusals = 12; ///< Refusals that reached no backend server, before the entry gives up.
+    search_policy search;
+    duration hedgePatience = std::chrono::milliseconds(250); ///< Wait of a second attempt for a slot.
     duration answerMargin
         = std::chrono::milliseconds(30); ///< The answer must travel before the caller leaves.
     double hedgeObjectiveShare = 0.5; ///< A second attempt starts after this share of the objective,
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -40,7 +40,8 @@
             if (error)
                 return;
             ++connections;
-            read(handle<connection>(new connection(std::move(socket))));
+            open.emplace_back(new connection(std::move(socket)));
+            read(open.back());
             accept();
         });
     }
@@ -63,13 +64,18 @@
             });
     }
 
+    static void reset(connection& what)
+    {
+        what.socket.set_option(asio::socket_base::linger(true, 0));
+        what.socket.close();
+    }
+
     void answer(connection& to)
     {
         if (reply.empty())
             return; // Hangs.
         if (reply == "reset") {
-            to.socket.set_option(asio::socket_base::linger(true, 0));
-            to.socket.close();
+            reset(to);
             return;
         }
         asio::write(to.socket, asio::buffer(reply));
@@ -83,6 +89,7 @@
     int connections = 0;
     int ended = 0;
     std::vector<std::string> requests;
+    std::vector<handle<connection>> open;
 };
 
 struct gateway_fixture {
@@ -290,6 +297,37 @@
     CHECK(fixture.submit(lastResort).answer);
 }
 
+TEST_CASE("A server that fails nearly all requests gets trials only")
+{
+    gateway_fixture fixture("reset");
+    for (int i = 0; i < 8; ++i) {
+        auto request = fixture.make();
+        request->request.acceptsSuspect = true;
+        fixture.submit(request);
+    }
+    fixture.backend.reply = gateway_fixture::good("r1");
+    auto lastResort = fixture.make();
+    lastResort->request.acceptsSuspect = true;
+    checkNotRun(fixture.submit(lastResort), refusal_reason::backendServerFailed);
+}
+
+TEST_CASE("Requests that wait when a server becomes suspect are given back unrun")
+{
+    gateway_fixture fixture("");
+    std::vector<handle<gateway_request>> requests { fixture.make(), fixture.make(), fixture.make() };
+    std::optional<forward_reply> reply;
+    for (const auto& each : requests)
+        each->reply = [](const forward_reply&) {};
+    requests.back()->reply = [&](const forward_reply& each) { reply = each; };
+    for (const auto& each : requests)
+        fixture.gateway.submit(each);
+    REQUIRE(runUntil(fixture.context, [&] { return fixture.backend.requests.size() == 2; }));
+    scripted_backend::reset(*fixture.backend.open.front());
+    REQUIRE(runUntil(fixture.context, [&] { return reply.has_value(); }));
+    checkNotRun(*reply, refusal_reason::backendServerFailed);
+    CHECK(fixture.backend.requests.size() == 2);
+}
+
 TEST_CASE("A server that takes no connection was not sent anything")
 {
     gateway_fixture fixture;
--- a/test/proxy/peer_choice.cpp
+++ b/test/proxy/peer_choice.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 using namespace pomelohub;
 using namespace std::chrono_literals;
 
@@ -48,7 +50,7 @@
         CHECK(fixture.choose(repeat_rule::idempotent) != "c");
     for (const auto& peer : fixture.peers) {
         if (peer->announcement.dataCentre == near)
-            peer->note({ 20, 20, 4, 500ms, false, false }, start);
+            peer->note({ 20, 20, 4, 500ms, 0, false, false }, start);
     }
     CHECK(fixture.choose(repeat_rule::idempotent) == "c");
 }
@@ -75,12 +77,12 @@
 {
     choice_fixture fixture;
     for (const auto& peer : fixture.peers)
-        peer->note({ 0, 0, 4, 100ms, false, false }, start);
+        peer->note({ 0, 0, 4, 100ms, 0, false, false }, start);
     std::set<std::string> chosen;
     for (int i = 0; i < 50; ++i)
         chosen.insert(fixture.choose(repeat_rule::once));
     CHECK(chosen == std::set<std::string> { "a", "b" });
-    fixture.peers[0]->note({ 4, 3, 4, 100ms, false, false }, start);
+    fixture.peers[0]->note({ 4, 3, 4, 100ms, 0, false, false }, start);
     for (int i = 0; i < 50; ++i)
         CHECK(fixture.choose(repeat_rule::once) == "b");
 }
@@ -97,7 +99,7 @@
     CHECK(fixture.choose(repeat_rule::once, false, start + 600ms) == "b");
     SUBCASE("until it reports that it is sound")
     {
-        fixture.peers[0]->note({ 0, 0, 4, 100ms, false, false }, start);
+        fixture.peers[0]->note({ 0, 0, 4, 100ms, 0, false, false }, start);
         fixture.tried = { node_id("b") };
         CHECK(fixture.choose(repeat_rule::once) == "a");
     }
@@ -119,3 +121,53 @@
     fixture.peers[0]->isSilent = true;
     CHECK(fixture.choose(repeat_rule::once, false, start + 2s) == "b");
 }
+
+TEST_CASE("Servers of a service are asked alike while their latencies differ as their requests do")
+{
+    choice_fixture fixture;
+    fixture.peers[0]->note({ 0, 0, 4, 150ms, 0, false, false }, start);
+    fixture.peers[1]->note({ 0, 0, 4, 280ms, 0, false, false }, start);
+    std::map<std::string, int> count;
+    for (int i = 0; i < 200; ++i)
+        ++count[fixture.choose(repeat_rule::once)];
+    CHECK(count["a"] > 60);
+    CHECK(count["b"] > 60);
+}
+
+TEST_CASE("A server much slower than its peers is left out, and asked again once its report is old")
+{
+    choice_fixture fixture;
+    fixture.peers[0]->note({ 0, 0, 4, 200ms, 0, false, false }, start);
+    fixture.peers[1]->note({ 0, 0, 4, 4000ms, 0, false, false }, start);
+    fixture.peers[2]->note({ 0, 0, 4, 200ms, 0, false, false }, start);
+    for (int i = 0; i < 50; ++i)
+        CHECK(fixture.choose(repeat_rule::once) != "b");
+    std::map<std::string, int> count;
+    for (int i = 0; i < 200; ++i)
+        ++count[fixture.choose(repeat_rule::once, false, start + 9s)];
+    CHECK(count["b"] > 60);
+}
+
+TEST_CASE("As a last choice the server that fails the smallest share of its requests is taken")
+{
+    choice_fixture fixture;
+    fixture.peers[0]->note({ 0, 0, 4, 100ms, 0.8, false, true }, start);
+    fixture.peers[1]->note({ 0, 0, 4, 100ms, 0.3, false, true }, start);
+    for (const auto& peer : fixture.peers)
+        peer->noteSuspect(start + 1s, start);
+    fixture.tried = { node_id("c") };
+    CHECK(fixture.choose(repeat_rule::once) == "");
+    for (int i = 0; i < 20; ++i)
+        CHECK(fixture.choose(repeat_rule::once, true) == "b");
+}
+
+TEST_CASE("A server that was reported suspect gets trials, and one with few failures its share of requests")
+{
+    choice_fixture fixture;
+    fixture.peers[0]->note({ 0, 0, 4, 100ms, 0.4, false, true }, start);
+    fixture.peers[1]->note({ 0, 0, 4, 100ms, 0.2, false, false }, start);
+    fixture.peers[2]->note({ 0, 0, 4, 100ms, 0, false, false }, start);
+    CHECK(fixture.choose(repeat_rule::idempotent, false, start + 100ms) != "a");
+    CHECK(fixture.choose(repeat_rule::idempotent, false, start + 200ms) == "a");
+    CHECK(fixture.choose(repeat_rule::once, false, start + 200ms) == "b");
+}
