Notice connections that go silent without a reset

Cause: connections to the store and to backend servers had no sign of life of their own. Change: watchSocket() sets short keep-alive probes and a limit for unacknowledged bytes on each connection that the HTTP client opens.

--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "socket_options.h"
+
 #include <charconv>
 
 namespace pomelohub {
@@ -70,8 +72,7 @@
             self->fail(http_call_failure::notConnected);
             return;
         }
-        std::error_code ignored; // Without the option requests are only slower.
-        self->m_socket.set_option(tcp::no_delay(true), ignored);
+        watchSocket(self->m_socket);
         self->m_isOpen = true;
         self->m_keepsConnection = true;
         self->m_reader.emplace(HTTP_RESPONSE, self->m_limits,
--- /dev/null
+++ b/packages/proxy/src/socket_options.h
@@ -0,0 +1,15 @@
+/** \file
+ * Defines watchSocket(), the options of every connection that this node opens over HTTP/1.1.
+ */
+#pragma once
+
+#include <asio.hpp>
+
+namespace pomelohub {
+
+/** Sends small writes at once, and ends the connection when the other side shows no life: something between
+ * the two ends may have lost track of a connection without a reset. A failure to set an option is ignored, as
+ * the connection works without it. Thread safety: that of \p socket. */
+void watchSocket(asio::ip::tcp::socket& socket);
+
+} // namespace pomelohub
