--- a/packages/decisions/src/backend_search.cpp
+++ b/packages/decisions/src/backend_search.cpp
@@ -23,7 +23,8 @@
     const search_view& view, bool includeAvoided, const choice_random_hook& random, instant now) const
 {
     return choosePeer(view.candidates, view.evacuated,
-        { m_ownDataCentre, m_tried, view.repeats, includeAvoided }, m_policy.choice, random, now);
+        { m_ownDataCentre, m_tried, view.repeats, !m_hasTriedSuspect, includeAvoided }, m_policy.choice,
+        random, now);
 }
 
 handle<peer_state> backend_search::takeShortestWait(const search_view& view, duration longest, instant now)
@@ -81,6 +82,7 @@
     for (;;) {
         auto step = takeStep(view, random, now);
         if (step.peer) {
+            m_hasTriedSuspect = m_hasTriedSuspect || step.peer->isSuspect();
             m_tried.push_back(step.peer->announcement.node);
             return step;
         }
--- a/packages/decisions/src/backend_search.h
+++ b/packages/decisions/src/backend_search.h
@@ -83,6 +83,7 @@
     stage m_stage = stage::idleSlot;
     std::uint32_t m_idleTries = 0;
     std::uint32_t m_refusals = 0;
+    bool m_hasTriedSuspect = false; ///< One trial a request: refused ones would use up its attempts.
     std::vector<node_id> m_tried;
     std::vector<node_id> m_reached;
     std::vector<waiting_peer> m_waits;
--- a/packages/decisions/src/peer_choice.cpp
+++ b/packages/decisions/src/peer_choice.cpp
@@ -16,7 +16,8 @@
             return !evacuated.contains(announced.dataCentre);
         if (takesOrdinaryRequests(peer, evacuated, now))
             return true;
-        if (!peer.isSuspect() || peer.isAvoided(now) || evacuated.contains(announced.dataCentre))
+        bool mayTry = request.mayTrySuspects && peer.isSuspect() && !peer.isAvoided(now);
+        if (!mayTry || evacuated.contains(announced.dataCentre))
             return false;
         return request.repeats == repeat_rule::idempotent ? peer.isTrialDue(now) : peer.isSuspicionOld(now);
     }
@@ -53,7 +54,8 @@
         if (!isEligible(*peer, evacuated, request, now))
             continue;
         // Only requests that can be repeated find out whether a suspect server has recovered.
-        bool isTrial = request.repeats == repeat_rule::idempotent && !request.includeAvoided;
+        bool isTrial
+            = request.repeats == repeat_rule::idempotent && request.mayTrySuspects && !request.includeAvoided;
         if (isTrial && peer->isTrialDue(now))
             return peer;
         compared.push_back(&peer);
--- a/packages/decisions/src/peer_choice.h
+++ b/packages/decisions/src/peer_choice.h
@@ -29,6 +29,7 @@
     data_centre_id ownDataCentre;
     std::span<const node_id> tried; ///< Nodes that must not be chosen again.
     repeat_rule repeats = repeat_rule::idempotent;
+    bool mayTrySuspects = true; ///< Whether the request may find out that a suspect server has recovered.
     bool includeAvoided = false; ///< Also nodes that are avoided, when nothing else is left.
 };
 
--- a/test/proxy/backend_search.cpp
+++ b/test/proxy/backend_search.cpp
@@ -113,6 +113,25 @@
     CHECK(waited);
 }
 
+TEST_CASE("A request tries one suspect server at most while others serve")
+{
+    search_fixture fixture;
+    for (int i = 0; i < 20; ++i) {
+        fixture.peers.push_back(makePeer("suspect" + std::to_string(i)));
+        fixture.peers.back()->noteSuspect(start - 1ms, start - 1s);
+    }
+    int trials = 0;
+    int sound = 0;
+    for (int i = 0; i < 4; ++i) {
+        auto step = fixture.next(repeat_rule::idempotent);
+        REQUIRE(step);
+        (step->peer->isSuspect() ? trials : sound) += 1;
+        fixture.search.noteRefused(step->peer, step->peer->isSuspect() ? 0ms : 100ms);
+    }
+    CHECK(trials == 1);
+    CHECK(sound == 3);
+}
+
 TEST_CASE("A server that had the request is not chosen again, and refusals are bounded")
 {
     search_fixture fixture;
--- a/test/proxy/peer_choice.cpp
+++ b/test/proxy/peer_choice.cpp
@@ -36,7 +36,8 @@
             seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
             return (seed >> 33) % below;
         };
-        auto chosen = choosePeer(peers, evacuated, { near, tried, repeats, includeAvoided }, {}, random, now);
+        auto chosen
+            = choosePeer(peers, evacuated, { near, tried, repeats, true, includeAvoided }, {}, random, now);
         return chosen ? chosen->announcement.node.text() : "";
     }
 };
