Answer what still waits before a stopping node ends, and refuse what comes too late

Change: answers are due 250 ms before the end of the process; what has not run by then is refused as such. With less than 2.5 s left new requests are refused at once.

--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -17,6 +17,8 @@
     constexpr duration shortestStop = milliseconds(2300);
     /** Left of the grace for the last answers and the end of the process. */
     constexpr duration graceMargin = milliseconds(500);
+    /** Before that end callers get their answers, so that they are written and read. */
+    constexpr duration lastAnswerMargin = milliseconds(250);
     constexpr duration stopCheckInterval = milliseconds(50);
     /** Nodes that may own one allowance, one after the other. A part of the fleet that holds a tenth of it
      * finds an owner on its side with this many in 97 of 100 cases; small fleets always do. */
@@ -147,7 +149,7 @@
             = std::make_unique<request_entry>(each->context, m_settings.service, m_settings.dataCentre,
                 m_surroundings.caller, m_quarantine, each->forwarder, entryPolicy, m_log, m_metrics,
                 request_entry::hooks { m_clock, [this] { return m_controller.snapshot(); }, makeRandom(),
-                    [this] { return m_gateway->repeatShare(); },
+                    [this] { return m_answersBy.load(); }, [this] { return m_gateway->repeatShare(); },
                     [this, asking](const handle<const organisation_limits>& limits, std::uint32_t wanted,
                         duration timeout, std::function<void(std::optional<allowance_grant>)> done) {
                         askAllowance(*asking, limits, wanted, timeout, std::move(done));
@@ -454,6 +456,7 @@
         { { "requests", m_callers->pendingCount() }, { "grace", m_settings.grace } });
     m_isStopping = true;
     m_stopStartedAt = m_clock().monotonic;
+    m_answersBy = m_stopStartedAt + m_settings.grace - graceMargin - lastAnswerMargin;
     m_callers->startDraining();
     m_loop->leave([] {});
     stopWhenIdle();
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -91,6 +91,7 @@
     std::size_t m_nextWorker = 0;
     std::atomic<bool> m_isStopping { false };
     instant m_stopStartedAt {};
+    std::atomic<instant> m_answersBy { instant::max() };
     bool m_isGatewayLeaving = false;
 };
 
--- a/packages/proxy/src/request_entry.cpp
+++ b/packages/proxy/src/request_entry.cpp
@@ -47,6 +47,12 @@
             return;
         }
         m_context.caller = std::move(*caller);
+        if (m_entry.m_hooks.answersBy() - now.monotonic < m_entry.m_policy.leastTimeToStop) {
+            refuse({ execution::notRun, refusal_reason::nodeLeaving, "this node is about to end",
+                       std::chrono::ceil<milliseconds>(m_entry.m_policy.shortestRetryAfter) },
+                "stop");
+            return;
+        }
         m_context.snapshot = m_entry.m_hooks.snapshot();
         std::string_view filter;
         if (auto passed = m_entry.m_chain.run(m_context, now, filter); !passed) {
@@ -81,6 +87,7 @@
 
     void watch(instant present)
     {
+        m_deadline = std::min(m_deadline, m_entry.m_hooks.answersBy());
         m_timer.expires_at(std::min(m_deadline, present + m_entry.m_policy.watchInterval));
         m_timer.async_wait([self = handle<exchange>(this)](std::error_code error) {
             if (error || self->m_isDone)
--- a/packages/proxy/src/request_entry.h
+++ b/packages/proxy/src/request_entry.h
@@ -41,6 +41,9 @@
     duration watchInterval = std::chrono::milliseconds(150); ///< Between looks at requests that wait.
     duration allowanceTimeout = std::chrono::milliseconds(150); ///< For the owner of an allowance to answer.
     duration shortestRetryAfter = std::chrono::milliseconds(150);
+    /** A request that comes when a stopping node has less time left is refused: most would not be answered.
+     */
+    duration leastTimeToStop = std::chrono::milliseconds(2500);
     retry_limits retries;
 };
 
@@ -51,6 +54,8 @@
         clock_hook clock;
         std::function<handle<const fleet_snapshot>()> snapshot;
         choice_random_hook random;
+        /** By when every answer must be given, since the node stops; the end of time otherwise. */
+        std::function<instant()> answersBy;
         /** Share of the runs at the backend server beside this node that are repeats. */
         std::function<double()> repeatShare;
         /** Asks the owner of the allowance of \p limits for tokens. */
--- /dev/null
+++ b/test/proxy/request_entry.cpp
@@ -0,0 +1,100 @@
+/** \file
+ * What a caller is told by the node that took its request.
+ */
+#include "request_entry.h"
+
+#include "loopback.h"
+#include "platform_dialect.h"
+
+using namespace pomelohub;
+using namespace std::chrono_literals;
+
+namespace {
+
+event_log& quietLog()
+{
+    static event_log log(node_id("test"), { 64, 0, 1'000'000 }, readSystemClock);
+    return log;
+}
+
+/** An entry before one node that accepts connections and never says anything. */
+struct entry_fixture {
+    entry_policy policy;
+    asio::io_context context;
+    dialect words = makePlatformDialect();
+    crash_quarantine quarantine { {} };
+    proxy_metrics metrics;
+    instant answersBy = instant::max();
+    tcp::acceptor silentNode { context, tcp::endpoint(asio::ip::address_v4::loopback(), 0) };
+    handle<fleet_snapshot> snapshot { new fleet_snapshot };
+    peer_forwarder forwarder { context, node_id("self"), {}, quietLog(), { readSystemClock, nullptr } };
+    request_entry entry { context, service_id("shop"), data_centre_id("z"), words, quarantine, forwarder,
+        policy, quietLog(), metrics,
+        { readSystemClock, [this] { return handle<const fleet_snapshot>(snapshot); },
+            [](std::uint64_t) -> std::uint64_t { return 0; }, [this] { return answersBy; },
+            [] { return 0.0; },
+            [](const handle<const organisation_limits>&, std::uint32_t, duration,
+                const std::function<void(std::optional<allowance_grant>)>& done) { done(std::nullopt); } } };
+    tcp::endpoint address = freeEndpoint();
+    http_server server { context,
+        { [this](http_message&& message, handle<http_responder> responder) {
+             entry.serve(std::move(message), std::move(responder));
+         },
+            [] { return http_server_limits {}; }, readSystemClock, nullptr } };
+
+    explicit entry_fixture(entry_policy chosen = {})
+        : policy(chosen)
+    {
+        REQUIRE_FALSE(server.listen(address));
+        handle<routing_table> routes(new routing_table);
+        handle<routing_rule> rule(new routing_rule);
+        rule->host = "shop.example";
+        rule->pathPrefix = "/";
+        rule->timeout = 30s;
+        rule->objective = 1s;
+        rule->isOpen = true;
+        rule->services = { { service_id("shop"), 1 } };
+        routes->add(rule);
+        snapshot->routes = routes;
+        instance_announcement announced;
+        announced.node = node_id("silent");
+        announced.endpoint = textOf(silentNode.local_endpoint());
+        announced.dataCentre = data_centre_id("z");
+        announced.service = service_id("shop");
+        snapshot->services[announced.service] = { handle<peer_state>(new peer_state(announced)) };
+    }
+
+    std::string answer()
+    {
+        raw_caller caller(context, address);
+        caller.write("POST /x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\nDeadline-Ms: 30000\r\n"
+                     "Content-Length: 0\r\n\r\n");
+        REQUIRE(runUntil(context, [&] { return caller.received.find("\r\n\r\n") != std::string::npos; }));
+        return caller.received;
+    }
+};
+
+} // namespace
+
+TEST_CASE("A request that waits when its node stops is answered before the node ends")
+{
+    entry_policy policy;
+    policy.leastTimeToStop = 0s;
+    entry_fixture fixture(policy);
+    // Sooner than the link counts as silent, so that nothing else ends the wait.
+    fixture.answersBy = readSystemClock().monotonic + 300ms;
+    auto answer = fixture.answer();
+    CHECK(readSystemClock().monotonic < fixture.answersBy + 250ms);
+    CHECK(answer.find(" 503 ") != std::string::npos);
+}
+
+TEST_CASE("A node that is about to end refuses new requests at once, unrun")
+{
+    entry_fixture fixture;
+    fixture.answersBy = readSystemClock().monotonic + 1s;
+    auto before = readSystemClock().monotonic;
+    auto answer = fixture.answer();
+    CHECK(readSystemClock().monotonic - before < 500ms);
+    CHECK(answer.find(" 503 ") != std::string::npos);
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+}
