Read the operators' log again after differing waits

Change: the waits of long polls are drawn between 1 and 25 s, most of them short, so that of 21 nodes one reads again within 3 s; gossip does the rest.

--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -70,11 +70,19 @@
     });
 }
 
+duration control_loop::nextFollowWait()
+{
+    constexpr std::uint64_t steps = 1024;
+    auto share = static_cast<double>(m_hooks.random(steps)) / steps;
+    auto range = m_policy.longestFollowWait - m_policy.shortestFollowWait;
+    return m_policy.shortestFollowWait + std::chrono::duration_cast<duration>(range * share * share);
+}
+
 void control_loop::follow()
 {
     auto from = m_controller.operators().position;
     m_store.followOperators(
-        from, m_policy.followWait, [this, from](tl::expected<operator_changes, store_failure> read) {
+        from, nextFollowWait(), [this, from](tl::expected<operator_changes, store_failure> read) {
             noteStore(read.has_value() || read.error() == store_failure::historyGone, "follow_operators");
             if (!read && read.error() == store_failure::historyGone) {
                 readOperators();
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -16,7 +16,10 @@
 namespace pomelohub {
 
 struct control_policy {
-    duration followWait = std::chrono::seconds(25); ///< Longest wait of one call that follows the log.
+    /** Waits of calls that follow the log. They differ and most are short, so that some node soon reads again
+     * where a slow store has failed to wake those that wait. */
+    duration shortestFollowWait = std::chrono::seconds(1);
+    duration longestFollowWait = std::chrono::seconds(25);
     duration firstRetry = std::chrono::milliseconds(100); ///< After a call failed; doubles up to the next.
     duration longestRetry = std::chrono::seconds(1);
     duration gossipInterval = std::chrono::milliseconds(500);
@@ -56,6 +59,7 @@
 private:
     void readOperators();
     void follow();
+    duration nextFollowWait();
     void announce();
     void readAnnouncements();
     void gossip();
