Let about seven nodes read the log early, and changes in quick succession come with one call

A storm of changes cost a call a node and change. Change: of n nodes 7, drawn anew with each call, wait 1 to 3 s, the rest 25 s; a node pauses up to 400 ms after a change. The random delay of repeats and these share one function.

--- a/packages/decisions/src/peer_choice.cpp
+++ b/packages/decisions/src/peer_choice.cpp
@@ -25,6 +25,7 @@
     duration typicalLatency(const std::vector<const handle<peer_state>*>& peers, instant now)
     {
         std::vector<duration> latencies;
+        latencies.reserve(peers.size());
         for (const auto* each : peers)
             latencies.push_back((*each)->meanLatency(now));
         if (latencies.empty())
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -37,9 +37,7 @@
 void control_loop::retryLater(asio::steady_timer& timer, duration& delay, std::function<void()> what)
 {
     // Half of the delay is random, so that nodes that lost the store together do not return together.
-    auto half = std::chrono::duration_cast<std::chrono::microseconds>(delay / 2);
-    auto random = m_hooks.random(static_cast<std::uint64_t>(half.count()) + 1);
-    timer.expires_after(half + std::chrono::microseconds(static_cast<std::int64_t>(random)));
+    timer.expires_after(drawBetween(delay / 2, delay));
     delay = std::min<duration>(delay * 2, m_policy.longestRetry);
     timer.async_wait([what = std::move(what)](std::error_code error) {
         if (!error)
@@ -70,12 +68,28 @@
     });
 }
 
+duration control_loop::drawBetween(duration shortest, duration longest)
+{
+    auto range = std::chrono::duration_cast<std::chrono::microseconds>(longest - shortest).count();
+    auto drawn = m_hooks.random(static_cast<std::uint64_t>(range) + 1);
+    return shortest + std::chrono::microseconds(static_cast<std::int64_t>(drawn));
+}
+
 duration control_loop::nextFollowWait()
 {
     constexpr std::uint64_t steps = 1024;
-    auto share = static_cast<double>(m_hooks.random(steps)) / steps;
-    auto range = m_policy.longestFollowWait - m_policy.shortestFollowWait;
-    return m_policy.shortestFollowWait + std::chrono::duration_cast<duration>(range * share * share);
+    auto nodes = static_cast<double>(m_controller.announcements().present().size());
+    bool isEarly = static_cast<double>(m_hooks.random(steps)) * nodes < m_policy.earlyReaders * steps;
+    return isEarly ? drawBetween(m_policy.shortestEarlyWait, m_policy.longestEarlyWait) : m_policy.followWait;
+}
+
+void control_loop::followAfterPause()
+{
+    m_followTimer.expires_after(drawBetween(duration::zero(), m_policy.longestChangePause));
+    m_followTimer.async_wait([this](std::error_code error) {
+        if (!error)
+            follow();
+    });
 }
 
 void control_loop::follow()
@@ -96,7 +110,10 @@
             // News from another node may have gone further meanwhile; then these records are known.
             if (m_controller.operators().position == from)
                 m_controller.takeChanges(read->changes, read->position);
-            follow();
+            if (read->changes.empty())
+                follow();
+            else
+                followAfterPause();
         });
 }
 
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -16,10 +16,14 @@
 namespace pomelohub {
 
 struct control_policy {
-    /** Waits of calls that follow the log. They differ and most are short, so that some node soon reads again
-     * where a slow store has failed to wake those that wait. */
-    duration shortestFollowWait = std::chrono::seconds(1);
-    duration longestFollowWait = std::chrono::seconds(25);
+    duration followWait = std::chrono::seconds(25); ///< Longest wait of most calls that follow the log.
+    /** So many nodes of the fleet, drawn anew with each call, wait for a short time only: where a slow store
+     * has not woken those that wait, one of them reads the change in time for gossip. */
+    double earlyReaders = 7;
+    duration shortestEarlyWait = std::chrono::seconds(1);
+    duration longestEarlyWait = std::chrono::seconds(3);
+    duration longestChangePause
+        = std::chrono::milliseconds(400); ///< After a change, so that one call brings those that follow it.
     duration firstRetry = std::chrono::milliseconds(100); ///< After a call failed; doubles up to the next.
     duration longestRetry = std::chrono::seconds(1);
     duration gossipInterval = std::chrono::milliseconds(500);
@@ -59,7 +63,9 @@
 private:
     void readOperators();
     void follow();
+    void followAfterPause();
     duration nextFollowWait();
+    duration drawBetween(duration shortest, duration longest);
     void announce();
     void readAnnouncements();
     void gossip();
