Accept any suspect server where all servers of a service are suspect

Cause: a route whose requests all fail made every server of its service suspect and failing in nearly all requests, so that the gateways took trials only and the entries answered 503 for every other route of the service too. Change: suspect_rule says which suspect servers a request accepts: none but for trials, those that fail in part, or any where none of the service works.

--- a/packages/decisions/src/backend_search.cpp
+++ b/packages/decisions/src/backend_search.cpp
@@ -27,6 +27,13 @@
         random, now);
 }
 
+suspect_rule backend_search::rulePresently(const search_view& view, instant now) const
+{
+    bool isAnySound = std::any_of(view.candidates.begin(), view.candidates.end(),
+        [&](const auto& each) { return takesOrdinaryRequests(*each, view.evacuated, now); });
+    return isAnySound ? suspect_rule::failingInPart : suspect_rule::any;
+}
+
 handle<peer_state> backend_search::takeShortestWait(const search_view& view, duration longest, instant now)
 {
     std::erase_if(m_waits, [&](const waiting_peer& each) {
@@ -48,19 +55,20 @@
     switch (m_stage) {
     case stage::idleSlot:
         if (m_idleTries++ < m_policy.idleTries)
-            return { choose(view, false, random, now), std::min(view.left, m_policy.idlePatience), false };
+            return { choose(view, false, random, now), std::min(view.left, m_policy.idlePatience) };
         return {};
     case stage::shortWait: {
         auto wait = longestWait(view, m_policy.shortWaitShare);
         if (auto peer = takeShortestWait(view, wait, now))
-            return { peer, wait, false };
-        return { choose(view, false, random, now), wait, false };
+            return { peer, wait };
+        return { choose(view, false, random, now), wait };
     }
     case stage::suspect:
-        return { choose(view, true, random, now), longestWait(view, m_policy.longWaitShare), true };
+        return { choose(view, true, random, now), longestWait(view, m_policy.longWaitShare),
+            rulePresently(view, now) };
     case stage::longWait: {
         auto wait = longestWait(view, m_policy.longWaitShare);
-        return { takeShortestWait(view, wait, now), wait, false };
+        return { takeShortestWait(view, wait, now), wait };
     }
     }
     return {};
--- a/packages/decisions/src/backend_search.h
+++ b/packages/decisions/src/backend_search.h
@@ -35,7 +35,7 @@
 struct search_step {
     handle<peer_state> peer;
     duration patience {}; ///< Longest wait for a slot there.
-    bool acceptsSuspect = false; ///< No server that serves requests is left.
+    suspect_rule suspects = suspect_rule::trialsOnly;
 };
 
 /** Thread safety: one thread at a time. */
@@ -74,6 +74,7 @@
 
     handle<peer_state> choose(
         const search_view& view, bool includeAvoided, const choice_random_hook& random, instant now) const;
+    suspect_rule rulePresently(const search_view& view, instant now) const;
     handle<peer_state> takeShortestWait(const search_view& view, duration longest, instant now);
     search_step takeStep(const search_view& view, const choice_random_hook& random, instant now);
     void enterNextStage();
--- a/packages/proxy/src/forward.cpp
+++ b/packages/proxy/src/forward.cpp
@@ -35,7 +35,7 @@
         { "once", request.repeats == repeat_rule::once ? "1" : "0" },
         { "nested", request.isNested ? "1" : "0" },
         { "repeat", request.isRepeat ? "1" : "0" },
-        { "suspect-ok", request.acceptsSuspect ? "1" : "0" },
+        { "suspects", std::string(toText(request.suspects)) },
         { "time-left", timeFieldText(request.timeLeft) },
         { "patience", timeFieldText(request.patience) },
         { "fingerprint", numberText(request.fingerprint) },
@@ -57,7 +57,7 @@
     request.repeats = message.value("once") == "0" ? repeat_rule::idempotent : repeat_rule::once;
     request.isNested = message.value("nested") == "1";
     request.isRepeat = message.value("repeat") == "1";
-    request.acceptsSuspect = message.value("suspect-ok") == "1";
+    request.suspects = suspectRuleFromText(message.value("suspects"));
     request.timeLeft = message.time("time-left");
     request.patience = message.time("patience");
     request.fingerprint = message.number("fingerprint");
--- a/packages/proxy/src/forward.h
+++ b/packages/proxy/src/forward.h
@@ -6,8 +6,8 @@
 
 #include "crash_quarantine.h"
 #include "http_message.h"
+#include "peer_choice.h"
 #include "peer_link.h"
-#include "peer_state.h"
 #include "verdict.h"
 
 namespace pomelohub {
@@ -22,7 +22,7 @@
     repeat_rule repeats = repeat_rule::once;
     bool isNested = false; ///< Sent by a backend server that holds a slot meanwhile.
     bool isRepeat = false; ///< Another backend server had it before.
-    bool acceptsSuspect = false; ///< No better backend server is left.
+    suspect_rule suspects = suspect_rule::trialsOnly;
     duration timeLeft {}; ///< Until the sender gives up.
     duration patience {}; ///< Longest wait for a slot that the sender accepts.
     request_fingerprint fingerprint = 0;
--- a/packages/proxy/src/request_entry.cpp
+++ b/packages/proxy/src/request_entry.cpp
@@ -161,7 +161,7 @@
                 { "second", peer->announcement.node.text() },
                 { "waited", present - m_attempts.front().startedAt } });
         m_entry.m_metrics.noteHedge();
-        send({ peer, m_entry.m_policy.hedgePatience, false }, present);
+        send({ peer, m_entry.m_policy.hedgePatience }, present);
     }
 
     void takeAllowance(instant present)
@@ -304,7 +304,7 @@
         request.repeats = m_context.rule->repeats;
         request.isNested = isNested();
         request.isRepeat = m_isRepeat || m_search.hasReached();
-        request.acceptsSuspect = step.acceptsSuspect;
+        request.suspects = step.suspects;
         request.timeLeft = m_deadline - present;
         request.patience = step.patience;
         request.fingerprint = m_context.fingerprint;
@@ -315,7 +315,7 @@
             { { "peer", peer->announcement.node.text() }, { "service", m_service.text() },
                 { "configuration", m_context.snapshot->routes->version }, { "attempt", m_sent },
                 { "estimate", peer->estimatedAnswer(present) }, { "patience", step.patience },
-                { "accepts_suspect", step.acceptsSuspect } });
+                { "suspects", toText(step.suspects) } });
         auto ticket = m_entry.m_forwarder.forward(
             peer, request, [self = handle<exchange>(this), peer](forward_reply reply) {
                 self->takeReply(peer, std::move(reply));
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -293,7 +293,7 @@
     CHECK(refused.report.isSuspect);
     CHECK(refused.avoidFor > 0s);
     auto lastResort = fixture.make();
-    lastResort->request.acceptsSuspect = true;
+    lastResort->request.suspects = suspect_rule::failingInPart;
     CHECK(fixture.submit(lastResort).answer);
 }
 
@@ -302,13 +302,16 @@
     gateway_fixture fixture("reset");
     for (int i = 0; i < 8; ++i) {
         auto request = fixture.make();
-        request->request.acceptsSuspect = true;
+        request->request.suspects = suspect_rule::failingInPart;
         fixture.submit(request);
     }
     fixture.backend.reply = gateway_fixture::good("r1");
     auto lastResort = fixture.make();
-    lastResort->request.acceptsSuspect = true;
+    lastResort->request.suspects = suspect_rule::failingInPart;
     checkNotRun(fixture.submit(lastResort), refusal_reason::backendServerFailed);
+    auto whereAllFail = fixture.make();
+    whereAllFail->request.suspects = suspect_rule::any;
+    CHECK(fixture.submit(whereAllFail).answer);
 }
 
 TEST_CASE("Requests that wait when a server becomes suspect are given back unrun")
--- a/test/proxy/backend_search.cpp
+++ b/test/proxy/backend_search.cpp
@@ -74,13 +74,13 @@
     {
         auto shortest = fixture.next();
         REQUIRE(shortest);
-        CHECK_FALSE(shortest->acceptsSuspect);
+        CHECK(shortest->suspects == suspect_rule::trialsOnly);
         CHECK(shortest->patience == 300ms);
         fixture.search.noteRefused(shortest->peer, {});
         auto second = fixture.next();
         REQUIRE(second);
         CHECK(second->peer != shortest->peer);
-        CHECK_FALSE(second->acceptsSuspect);
+        CHECK(second->suspects == suspect_rule::trialsOnly);
     }
     SUBCASE("a server that became suspect meanwhile is left out")
     {
@@ -88,7 +88,7 @@
             peer->noteSuspect(start + 1s, start);
         auto step = fixture.next();
         REQUIRE(step);
-        CHECK(step->acceptsSuspect);
+        CHECK(step->suspects == suspect_rule::any);
     }
 }
 
@@ -104,10 +104,10 @@
     }
     auto suspect = fixture.next();
     REQUIRE(suspect);
-    CHECK(suspect->acceptsSuspect);
+    CHECK(suspect->suspects == suspect_rule::failingInPart);
     bool waited = false;
     for (auto step = suspect; step; step = fixture.next()) {
-        waited = waited || (!step->acceptsSuspect && step->patience == 700ms);
+        waited = waited || (step->suspects == suspect_rule::trialsOnly && step->patience == 700ms);
         fixture.search.noteRefused(step->peer, {});
     }
     CHECK(waited);
@@ -246,8 +246,10 @@
                 request->at = each.get();
         }
         auto& at = *request->at;
-        if (at.judge.isSuspect() && !(step->acceptsSuspect && at.judge.failingShare() <= 0.8)
-            && !at.judge.isQuiet(now)) {
+        bool failsInPart = at.judge.failingShare() <= 0.8;
+        bool isAccepted = step->suspects == suspect_rule::any
+            || (step->suspects == suspect_rule::failingInPart && failsInPart);
+        if (at.judge.isSuspect() && !isAccepted && !at.judge.isQuiet(now)) {
             at.peer->noteSuspect(now + 200ms, now);
             report(at, now);
             refused(request, notRun(refusal_reason::backendServerFailed, "").value());
