Let the judge of a backend server say which requests it accepts

The gateway and a test each held the rule for suspect servers, with the limit of 0.8 written twice. outcome_judge decides now, and its tests cover the rule. nextTrial() had no caller.

--- a/packages/decisions/src/backend_search.h
+++ b/packages/decisions/src/backend_search.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "outcome_judge.h"
 #include "peer_choice.h"
 
 namespace pomelohub {
--- a/packages/decisions/src/outcome_judge.cpp
+++ b/packages/decisions/src/outcome_judge.cpp
@@ -19,6 +19,28 @@
     return "";
 }
 
+std::string_view toText(suspect_rule rule)
+{
+    switch (rule) {
+    case suspect_rule::trialsOnly:
+        return "trials-only";
+    case suspect_rule::failingInPart:
+        return "failing-in-part";
+    case suspect_rule::any:
+        return "any";
+    }
+    return "";
+}
+
+suspect_rule suspectRuleFromText(std::string_view text)
+{
+    for (auto rule : { suspect_rule::failingInPart, suspect_rule::any }) {
+        if (text == toText(rule))
+            return rule;
+    }
+    return suspect_rule::trialsOnly;
+}
+
 outcome_judge::outcome_judge(judge_policy policy)
     : m_policy(policy)
     , m_servedToClear(policy.servedToClear)
@@ -70,6 +92,13 @@
     return true;
 }
 
+bool outcome_judge::accepts(suspect_rule rule) const
+{
+    if (!m_isSuspect || rule == suspect_rule::any)
+        return true;
+    return rule == suspect_rule::failingInPart && m_failingShare <= m_policy.mostFailingShare;
+}
+
 bool outcome_judge::takeTrial(instant now)
 {
     if (!m_isSuspect || now < m_nextTrial)
--- a/packages/decisions/src/outcome_judge.h
+++ b/packages/decisions/src/outcome_judge.h
@@ -19,6 +19,19 @@
 /** Text of \p outcome in logs. */
 std::string_view toText(backend_outcome outcome);
 
+/** Which suspect backend servers a request accepts. */
+enum class suspect_rule {
+    trialsOnly,
+    failingInPart, ///< None that fails nearly all requests.
+    any, ///< All servers of the service are suspect, so that suspicion tells nothing.
+};
+
+/** Text of \p rule in messages and logs. */
+std::string_view toText(suspect_rule rule);
+
+/** The rule that \p text names; trials only for any other text. */
+suspect_rule suspectRuleFromText(std::string_view text);
+
 struct judge_policy {
     double memory = 0.7; ///< Share of the former estimate that each outcome leaves.
     double failedWeight = 0.6; ///< A server fails some requests by itself, so one proves little.
@@ -29,6 +42,9 @@
     std::uint32_t mostServedToClear = 6; ///< Each relapse asks one more, up to this.
     duration quietToClear
         = std::chrono::milliseconds(2500); ///< Without a failure a suspect server gets any request.
+    /** A server that fails more of its requests gets trials only while others of its service work: a caller
+     * is better off with the refusal of a request that has not run than with an unknown outcome. */
+    double mostFailingShare = 0.8;
     duration relapseWindow = std::chrono::seconds(10); ///< A suspicion within it counts as a relapse.
 };
 
@@ -46,12 +62,12 @@
     /** Whether a suspect server is due one more request that may be repeated elsewhere. Takes that turn. */
     bool takeTrial(instant now);
 
+    /** Whether the server gets a request that is no trial and accepts what \p rule says. */
+    bool accepts(suspect_rule rule) const;
+
     /** Whether the last failure is so long ago that a request that runs once may be the trial. */
     bool isQuiet(instant now) const { return now - m_lastFailure > m_policy.quietToClear; }
 
-    /** When the next trial is due. */
-    instant nextTrial() const { return m_nextTrial; }
-
     /** Another start of the server: what was seen no longer counts. */
     void reset();
 
--- a/packages/decisions/src/peer_choice.cpp
+++ b/packages/decisions/src/peer_choice.cpp
@@ -37,28 +37,6 @@
 
 } // namespace
 
-std::string_view toText(suspect_rule rule)
-{
-    switch (rule) {
-    case suspect_rule::trialsOnly:
-        return "trials-only";
-    case suspect_rule::failingInPart:
-        return "failing-in-part";
-    case suspect_rule::any:
-        return "any";
-    }
-    return "";
-}
-
-suspect_rule suspectRuleFromText(std::string_view text)
-{
-    for (auto rule : { suspect_rule::failingInPart, suspect_rule::any }) {
-        if (text == toText(rule))
-            return rule;
-    }
-    return suspect_rule::trialsOnly;
-}
-
 bool takesOrdinaryRequests(const peer_state& peer, const std::set<data_centre_id>& evacuated, instant now)
 {
     return !evacuated.contains(peer.announcement.dataCentre) && !peer.isAvoided(now)
--- a/packages/decisions/src/peer_choice.h
+++ b/packages/decisions/src/peer_choice.h
@@ -12,19 +12,6 @@
 /** Uniform random numbers below the argument. Thread safety: one thread at a time. */
 using choice_random_hook = std::function<std::uint64_t(std::uint64_t below)>;
 
-/** Which suspect backend servers a request accepts. */
-enum class suspect_rule {
-    trialsOnly,
-    failingInPart, ///< None that fails nearly all requests.
-    any, ///< All servers of the service are suspect, so that suspicion tells nothing.
-};
-
-/** Text of \p rule in messages and logs. */
-std::string_view toText(suspect_rule rule);
-
-/** The rule that \p text names; trials only for any other text. */
-suspect_rule suspectRuleFromText(std::string_view text);
-
 struct peer_choice_policy {
     /** How much longer an answer in the own data centre may take before another one is chosen: bytes between
      * data centres cost, and time within the objective does not. */
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -79,10 +79,7 @@
         return {};
     bool mayTry = request.request.repeats == repeat_rule::idempotent || m_judge.isQuiet(now);
     request.m_isTrial = mayTry && m_judge.takeTrial(now);
-    auto rule = request.request.suspects;
-    bool failsInPart = m_judge.failingShare() <= m_policy.mostFailingShare;
-    bool isAccepted = rule == suspect_rule::any || (rule == suspect_rule::failingInPart && failsInPart);
-    if (request.m_isTrial || isAccepted)
+    if (request.m_isTrial || m_judge.accepts(request.request.suspects))
         return {};
     return notRun(refusal_reason::backendServerFailed, "the backend server fails requests");
 }
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -55,9 +55,6 @@
     duration stuckAfter = std::chrono::milliseconds(1200); ///< Least age of a request that counts as stuck.
     double stuckFactor = 6; ///< And this many times the mean latency.
     duration crashWindow = std::chrono::seconds(3); ///< A broken run this long before a new start ended it.
-    /** A server that fails more of its requests gets trials only while others of its service work: a caller
-     * is better off with the refusal of a request that has not run than with an unknown outcome. */
-    double mostFailingShare = 0.8;
     double coldShare = 0.9; ///< Of the rate that a cold server bears; the rest is for clock differences.
 };
 
--- a/packages/proxy/src/forward.h
+++ b/packages/proxy/src/forward.h
@@ -6,8 +6,9 @@
 
 #include "crash_quarantine.h"
 #include "http_message.h"
-#include "peer_choice.h"
+#include "outcome_judge.h"
 #include "peer_link.h"
+#include "peer_state.h"
 #include "verdict.h"
 
 namespace pomelohub {
--- a/test/proxy/backend_search.cpp
+++ b/test/proxy/backend_search.cpp
@@ -246,10 +246,7 @@
                 request->at = each.get();
         }
         auto& at = *request->at;
-        bool failsInPart = at.judge.failingShare() <= 0.8;
-        bool isAccepted = step->suspects == suspect_rule::any
-            || (step->suspects == suspect_rule::failingInPart && failsInPart);
-        if (at.judge.isSuspect() && !isAccepted && !at.judge.isQuiet(now)) {
+        if (!at.judge.accepts(step->suspects) && !at.judge.isQuiet(now)) {
             at.peer->noteSuspect(now + 200ms, now);
             report(at, now);
             refused(request, notRun(refusal_reason::backendServerFailed, "").value());
--- a/test/proxy/outcome_judge.cpp
+++ b/test/proxy/outcome_judge.cpp
@@ -98,3 +98,16 @@
     judge.reset();
     CHECK_FALSE(judge.isSuspect());
 }
+
+TEST_CASE("What a suspect server accepts follows from what it fails and from whether others work")
+{
+    outcome_judge judge;
+    CHECK(judge.accepts(suspect_rule::trialsOnly));
+    judge.note(backend_outcome::broken, start, start);
+    CHECK_FALSE(judge.accepts(suspect_rule::trialsOnly));
+    CHECK(judge.accepts(suspect_rule::failingInPart));
+    for (int i = 0; i < 8; ++i)
+        judge.note(backend_outcome::broken, start, start);
+    CHECK_FALSE(judge.accepts(suspect_rule::failingInPart));
+    CHECK(judge.accepts(suspect_rule::any));
+}
