Say each thing once: spans from factors and seconds, sending at once, a quiet log for tests

The same conversion to a span of time stood in ten places, the option to send at once in three, the test log in three. A choice computed the latency of each server twice, and each long poll copied all announcements to count them; the published view knows their number. The refusal of a stopping node takes its Retry-After as all others do.

--- a/packages/decisions/src/admission_gate.cpp
+++ b/packages/decisions/src/admission_gate.cpp
@@ -55,7 +55,7 @@
         return true;
     if (m_usual == duration::zero() || sample.latency < m_policy.slowFloor)
         return false;
-    return sample.latency > std::chrono::duration_cast<duration>(m_usual * m_policy.slowFactor);
+    return sample.latency > scaled(m_usual, m_policy.slowFactor);
 }
 
 void admission_gate::noteGood(duration latency)
--- a/packages/decisions/src/admission_queue.cpp
+++ b/packages/decisions/src/admission_queue.cpp
@@ -5,17 +5,6 @@
 
 namespace pomelohub {
 
-namespace {
-
-    using seconds_double = std::chrono::duration<double>;
-
-    duration scaled(duration time, double factor)
-    {
-        return std::chrono::duration_cast<duration>(seconds_double(time) * factor);
-    }
-
-} // namespace
-
 admission_queue::admission_queue(admission_policy policy, start_hook start, refuse_hook refuse)
     : m_policy(policy)
     , m_start(std::move(start))
@@ -51,7 +40,7 @@
     if (isColdAt(now)) {
         auto missing = ahead + 1 - m_coldTokens;
         if (missing > 0) {
-            auto paced = std::chrono::duration_cast<duration>(seconds_double(missing / m_coldPerSecond));
+            auto paced = durationOf(missing / m_coldPerSecond);
             wait = std::max(wait, std::min(paced, m_coldUntil - now));
         }
     }
@@ -128,7 +117,7 @@
 
 void admission_queue::accrue(instant now)
 {
-    auto passed = seconds_double(now - m_accruedAt).count();
+    auto passed = std::chrono::duration<double>(now - m_accruedAt).count();
     m_accruedAt = now;
     m_coldTokens = std::min(m_policy.coldBurst, m_coldTokens + passed * m_coldPerSecond);
 }
@@ -186,7 +175,7 @@
     if (waiting() == 0 || m_inUse >= m_slots || !isColdAt(now))
         return std::nullopt;
     auto missing = std::max(0.0, 1 - m_coldTokens);
-    auto wait = std::chrono::duration_cast<duration>(seconds_double(missing / m_coldPerSecond));
+    auto wait = durationOf(missing / m_coldPerSecond);
     return std::min(m_coldUntil, m_accruedAt + wait + std::chrono::milliseconds(1));
 }
 
--- a/packages/decisions/src/allowance.cpp
+++ b/packages/decisions/src/allowance.cpp
@@ -7,9 +7,7 @@
 
 namespace {
 
-    using seconds_double = std::chrono::duration<double>;
-
-    double secondsOf(duration time) { return seconds_double(time).count(); }
+    double secondsOf(duration time) { return std::chrono::duration<double>(time).count(); }
 
 } // namespace
 
@@ -36,7 +34,7 @@
     bucket.accruedAt = now;
     if (bucket.level < 1) {
         auto missing = (1 - bucket.level) / std::max(perSecond, 0.01);
-        return { 0, std::chrono::duration_cast<duration>(seconds_double(missing)) };
+        return { 0, durationOf(missing) };
     }
     auto ahead = 1 + static_cast<std::uint32_t>((bucket.level - 1) * m_policy.shareOfLevel);
     auto tokens = std::max(1U, std::min(wanted, ahead));
--- a/packages/decisions/src/backend_search.cpp
+++ b/packages/decisions/src/backend_search.cpp
@@ -8,7 +8,7 @@
 
     duration longestWait(const search_view& view, double objectiveShare)
     {
-        return std::min(view.left, std::chrono::duration_cast<duration>(view.objective * objectiveShare));
+        return std::min(view.left, scaled(view.objective, objectiveShare));
     }
 
 } // namespace
--- a/packages/decisions/src/core_types.h
+++ b/packages/decisions/src/core_types.h
@@ -21,6 +21,18 @@
 /** A span of monotonic time. */
 using duration = std::chrono::steady_clock::duration;
 
+/** The span of \p seconds, fractions included. */
+inline duration durationOf(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+/** \p time times \p factor. */
+inline duration scaled(duration time, double factor)
+{
+    return std::chrono::duration_cast<duration>(time * factor);
+}
+
 /** A point of the wall clock, as carried by idempotency keys and log records. */
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
--- a/packages/decisions/src/peer_choice.cpp
+++ b/packages/decisions/src/peer_choice.cpp
@@ -22,17 +22,18 @@
         return request.repeats == repeat_rule::idempotent ? peer.isTrialDue(now) : peer.isSuspicionOld(now);
     }
 
-    duration typicalLatency(const std::vector<const handle<peer_state>*>& peers, instant now)
+    struct candidate {
+        const handle<peer_state>* peer = nullptr;
+        duration mean {};
+    };
+
+    /** The lower median of the latencies. Precondition: there is one at least. */
+    duration typicalLatency(std::vector<candidate> candidates)
     {
-        std::vector<duration> latencies;
-        latencies.reserve(peers.size());
-        for (const auto* each : peers)
-            latencies.push_back((*each)->meanLatency(now));
-        if (latencies.empty())
-            return {};
-        auto middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
-        std::nth_element(latencies.begin(), middle, latencies.end());
-        return *middle;
+        auto middle = candidates.begin() + static_cast<std::ptrdiff_t>((candidates.size() - 1) / 2);
+        std::nth_element(candidates.begin(), middle, candidates.end(),
+            [](const candidate& left, const candidate& right) { return left.mean < right.mean; });
+        return middle->mean;
     }
 
 } // namespace
@@ -48,7 +49,7 @@
     const peer_choice_policy& policy, const choice_random_hook& random, instant now)
 {
     constexpr std::uint64_t jitterSteps = 1024;
-    std::vector<const handle<peer_state>*> compared;
+    std::vector<candidate> compared;
     auto first = candidates.empty() ? 0 : random(candidates.size());
     for (std::size_t i = 0; i < candidates.size() && compared.size() < policy.sampleSize; ++i) {
         const auto& peer = candidates[(first + i) % candidates.size()];
@@ -59,20 +60,20 @@
             = request.repeats == repeat_rule::idempotent && request.mayTrySuspects && !request.includeAvoided;
         if (isTrial && peer->isTrialDue(now))
             return peer;
-        compared.push_back(&peer);
+        compared.push_back({ &peer, peer->meanLatency(now) });
     }
-    auto typical = typicalLatency(compared, now);
+    if (compared.empty())
+        return nullptr;
+    auto typical = typicalLatency(compared);
     handle<peer_state> best;
     duration bestCost {};
-    for (const auto* each : compared) {
-        const auto& peer = *each;
-        auto mean = peer->meanLatency(now);
-        if (mean <= typical * policy.slowFactor)
-            mean = typical;
+    for (const auto& [entry, ownMean] : compared) {
+        const auto& peer = *entry;
+        auto mean = ownMean <= scaled(typical, policy.slowFactor) ? typical : ownMean;
         auto spread = 1 + policy.jitter * static_cast<double>(random(jitterSteps)) / jitterSteps;
         // Servers that are not suspect share the load, since a few failures prove little.
         auto served = peer->isSuspect() ? std::max(1 - peer->failingShare(), policy.leastServedShare) : 1;
-        auto cost = std::chrono::duration_cast<duration>(peer->estimatedAnswer(mean, now) * spread / served);
+        auto cost = scaled(peer->estimatedAnswer(mean, now), spread / served);
         if (peer->announcement.dataCentre != request.ownDataCentre)
             cost += policy.otherDataCentreCost;
         if (!best || cost < bestCost) {
--- a/packages/decisions/src/peer_state.cpp
+++ b/packages/decisions/src/peer_state.cpp
@@ -71,7 +71,7 @@
     if (mean < unknownLatency)
         return mean;
     std::chrono::duration<double> age = now - m_reportedAt.load(std::memory_order_relaxed);
-    auto remembered = std::chrono::duration_cast<duration>(mean * std::exp2(-age / latencyHalfLife));
+    auto remembered = scaled(mean, std::exp2(-age / latencyHalfLife));
     return std::max(remembered, unknownLatency);
 }
 
@@ -85,7 +85,7 @@
         load += m_load.load(std::memory_order_relaxed);
     // Servers slow down as they fill, so load counts before the slots are full.
     auto rounds = 1 + 0.5 * load / slots + std::max(0.0, (load + 1 - slots) / slots);
-    return std::chrono::duration_cast<duration>(mean * rounds);
+    return scaled(mean, rounds);
 }
 
 std::vector<fleet_node> ownersOf(const fleet_snapshot& snapshot, std::string_view item, std::size_t count)
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -453,8 +453,8 @@
 {
     auto now = m_hooks.clock().monotonic;
     m_queue.pump(now);
-    auto stuckAge = std::max<duration>(m_policy.stuckAfter,
-        std::chrono::duration_cast<duration>(m_queue.meanLatency() * m_policy.stuckFactor));
+    auto stuckAge
+        = std::max<duration>(m_policy.stuckAfter, scaled(m_queue.meanLatency(), m_policy.stuckFactor));
     std::vector<handle<gateway_request>> abandoned;
     for (const auto& request : m_active) {
         auto age = now - request->m_startedAt;
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -78,7 +78,7 @@
 duration control_loop::nextFollowWait()
 {
     constexpr std::uint64_t steps = 1024;
-    auto nodes = static_cast<double>(m_controller.announcements().present().size());
+    auto nodes = static_cast<double>(m_controller.snapshot()->nodes.size());
     bool isEarly = static_cast<double>(m_hooks.random(steps)) * nodes < m_policy.earlyReaders * steps;
     return isEarly ? drawBetween(m_policy.shortestEarlyWait, m_policy.longestEarlyWait) : m_policy.followWait;
 }
--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http_server.h"
 
+#include "socket_options.h"
+
 namespace pomelohub {
 
 namespace {
@@ -311,8 +313,7 @@
     auto limits = m_hooks.limits();
     if (m_connections >= limits.maxConnections)
         return;
-    std::error_code ignored; // Without the option answers are only slower.
-    socket.set_option(tcp::no_delay(true), ignored);
+    sendAtOnce(socket);
     auto executor = socket.get_executor();
     handle<http_server_connection> connection(new http_server_connection(*this, std::move(socket), limits));
     asio::dispatch(executor, [connection] { connection->start(); });
--- a/packages/proxy/src/peer_link.cpp
+++ b/packages/proxy/src/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "peer_link.h"
 
+#include "socket_options.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -329,8 +331,7 @@
 
 void peer_link::startSession()
 {
-    std::error_code ignored; // Without the option frames are only slower.
-    m_socket.set_option(tcp::no_delay(true), ignored);
+    sendAtOnce(m_socket);
     std::array settings {
         nghttp2_settings_entry { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, maxStreams },
         nghttp2_settings_entry { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindow },
--- a/packages/proxy/src/proxy_settings.cpp
+++ b/packages/proxy/src/proxy_settings.cpp
@@ -14,11 +14,6 @@
     constexpr number_range reserveRange { 0, 1e6 };
     constexpr number_range windowRange { 0.1, 3600 };
 
-    duration secondsFrom(double seconds)
-    {
-        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
-    }
-
     std::string readEndpoint(checked_object& object, const std::string& name, bool isRequired = true)
     {
         auto text = object.text(name, isRequired);
@@ -42,7 +37,7 @@
         auto& limits = settings.retries;
         limits.share = object.number("share", shareRange, limits.share);
         limits.reserve = object.number("reserve", reserveRange, limits.reserve);
-        limits.window = secondsFrom(object.number("window_s", windowRange, 10));
+        limits.window = durationOf(object.number("window_s", windowRange, 10));
         object.rejectUnknown();
     }
 
@@ -67,7 +62,7 @@
         settings.threads = static_cast<std::uint32_t>(root.integer("threads", threadRange, 1));
         auto descriptors = static_cast<std::size_t>(root.integer("descriptors", descriptorRange, 4096));
         settings.maxConnections = descriptors / callerShareOfDescriptors;
-        settings.grace = secondsFrom(root.number("grace_s", graceRange, 6));
+        settings.grace = durationOf(root.number("grace_s", graceRange, 6));
         readRetries(root.object("retries", false), settings);
         root.rejectUnknown();
     }
--- a/packages/proxy/src/request_entry.cpp
+++ b/packages/proxy/src/request_entry.cpp
@@ -48,8 +48,8 @@
         }
         m_context.caller = std::move(*caller);
         if (m_entry.m_hooks.answersBy() - now.monotonic < m_entry.m_policy.leastTimeToStop) {
-            refuse({ execution::notRun, refusal_reason::nodeLeaving, "this node is about to end",
-                       std::chrono::ceil<milliseconds>(m_entry.m_policy.shortestRetryAfter) },
+            refuse(withRetryAfter(
+                       { execution::notRun, refusal_reason::nodeLeaving, "this node is about to end", {} }),
                 "stop");
             return;
         }
@@ -125,10 +125,8 @@
         for (const auto& each : m_attempts) {
             if (each.ticket->isSilent() && !each.ticket->isCommitted())
                 withdrawn.push_back(each.ticket);
-            auto patience = std::max<duration>(std::chrono::duration_cast<duration>(m_context.rule->objective
-                                                   * m_entry.m_policy.hedgeObjectiveShare),
-                std::chrono::duration_cast<duration>(
-                    each.peer->estimatedAnswer(present) * m_entry.m_policy.hedgeLatencyFactor));
+            auto patience = std::max(scaled(m_context.rule->objective, m_entry.m_policy.hedgeObjectiveShare),
+                scaled(each.peer->estimatedAnswer(present), m_entry.m_policy.hedgeLatencyFactor));
             needsHedge = needsHedge || each.ticket->isSilent() || present - each.startedAt > patience;
         }
         for (const auto& ticket : withdrawn) {
--- a/packages/proxy/src/socket_options.cpp
+++ b/packages/proxy/src/socket_options.cpp
@@ -25,10 +25,16 @@
 
 } // namespace
 
+void sendAtOnce(asio::ip::tcp::socket& socket)
+{
+    std::error_code ignored; // Small writes are only slower then.
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
 void watchSocket(asio::ip::tcp::socket& socket)
 {
+    sendAtOnce(socket);
     std::error_code ignored; // The connection works without these options.
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
     setTcpOption(socket, TCP_KEEPIDLE, probeAfter.count());
     setTcpOption(socket, TCP_KEEPINTVL, probeInterval.count());
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-event_log& quietLog()
-{
-    static event_log log(node_id("test"), { 64, 0, 1'000'000 }, readSystemClock);
-    return log;
-}
-
 /** A backend server whose every answer is a text of the test's choice. */
 struct scripted_backend {
     explicit scripted_backend(asio::io_context& context)
--- a/test/proxy/control_loop.cpp
+++ b/test/proxy/control_loop.cpp
@@ -13,12 +13,6 @@
 
 namespace {
 
-event_log& quietLog()
-{
-    static event_log log(node_id("test"), { 64, 0, 1'000'000 }, readSystemClock);
-    return log;
-}
-
 tl::expected<handle<routing_table>, std::string> refuseAll(const std::string&)
 {
     return tl::unexpected(std::string("no document is expected"));
--- a/test/proxy/loopback.h
+++ b/test/proxy/loopback.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "event_log.h"
 #include "http_server.h"
 #include "system_clock.h"
 
@@ -45,6 +46,13 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+/** A log that keeps few lines. */
+inline event_log& quietLog()
+{
+    static event_log log(node_id("test"), { 64, 0, 1'000'000 }, readSystemClock);
+    return log;
+}
+
 /** A caller that writes raw bytes and keeps what comes back. */
 struct raw_caller {
     raw_caller(asio::io_context& context, const tcp::endpoint& server)
--- a/test/proxy/request_entry.cpp
+++ b/test/proxy/request_entry.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-event_log& quietLog()
-{
-    static event_log log(node_id("test"), { 64, 0, 1'000'000 }, readSystemClock);
-    return log;
-}
-
 /** An entry before one node that accepts connections and never says anything. */
 struct entry_fixture {
     entry_policy policy;
