Log and count how each configuration came, and what was given up

Callers were answered by configurations that had been replaced seconds before, and neither logs nor metrics told whether the transfer, the decoding or the poll was late. A line now names the source, the bytes and the time of each transfer and decoding, and each exchange that timed out names the bytes that had come. No logic has changed.

--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -55,18 +55,29 @@
         event_priority::always, hasSucceeded ? "store_regained" : "store_lost", {}, { { "call", call } });
 }
 
+void control_loop::recordTransfer(std::string_view source, std::size_t bytes, instant startedAt)
+{
+    m_metrics.recordConfigurationTransfer(source, bytes);
+    m_log.write(event_priority::always, "configuration_received", {},
+        { { "source", source }, { "bytes", static_cast<std::uint64_t>(bytes) },
+            { "after", m_hooks.clock().monotonic - startedAt },
+            { "position", m_controller.operators().position } });
+}
+
 void control_loop::readOperatorState()
 {
-    m_store.readOperatorState([this](tl::expected<operator_state, store_failure> state) {
-        updateStoreStatus(state.has_value(), "read_operators");
-        if (!state) {
-            scheduleRetry(m_pollTimer, m_pollRetryDelay, [this] { readOperatorState(); });
-            return;
-        }
-        m_pollRetryDelay = m_policy.initialRetryDelay;
-        m_controller.applyState(*state);
-        pollOperatorLog();
-    });
+    m_store.readOperatorState(
+        [this, startedAt = m_hooks.clock().monotonic](tl::expected<operator_state, store_failure> state) {
+            updateStoreStatus(state.has_value(), "read_operators");
+            if (!state) {
+                scheduleRetry(m_pollTimer, m_pollRetryDelay, [this] { readOperatorState(); });
+                return;
+            }
+            m_pollRetryDelay = m_policy.initialRetryDelay;
+            recordTransfer("snapshot", state->document.size(), startedAt);
+            m_controller.applyState(*state);
+            pollOperatorLog();
+        });
 }
 
 duration control_loop::randomDuration(duration min, duration max)
@@ -98,8 +109,9 @@
 void control_loop::pollOperatorLog()
 {
     auto from = m_controller.operators().position;
-    m_store.pollOperatorChanges(
-        from, nextPollTimeout(), [this, from](tl::expected<operator_changes, store_failure> read) {
+    m_store.pollOperatorChanges(from, nextPollTimeout(),
+        [this, from, startedAt = m_hooks.clock().monotonic](
+            tl::expected<operator_changes, store_failure> read) {
             updateStoreStatus(
                 read.has_value() || read.error() == store_failure::recordsDeleted, "follow_operators");
             if (!read && read.error() == store_failure::recordsDeleted) {
@@ -111,6 +123,10 @@
                 return;
             }
             m_pollRetryDelay = m_policy.initialRetryDelay;
+            for (const auto& change : read->changes) {
+                if (change.document)
+                    recordTransfer("log", change.document->size(), startedAt);
+            }
             // Gossip may have advanced the position during the poll; these records are then already applied.
             if (m_controller.operators().position == from)
                 m_controller.applyChanges(read->changes, read->position);
@@ -180,9 +196,11 @@
 void control_loop::gossipWith(const std::string& endpoint)
 {
     m_hooks.sendRequest(endpoint, encodeGossip(makeGossip(nullptr)), m_policy.gossipTimeout,
-        [this, endpoint](std::optional<peer_message> response) {
+        [this, endpoint, startedAt = m_hooks.clock().monotonic](std::optional<peer_message> response) {
             if (!response)
                 return; // The peer link logs its own failures.
+            if (auto update = decodeGossip(*response); update && update->operators)
+                recordTransfer("peer", update->operators->document.size(), startedAt);
             if (auto update = decodeGossip(*response))
                 applyGossip(*update, endpoint);
             else
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -84,6 +84,7 @@
     std::vector<std::string> selectGossipPeers();
     void scheduleRetry(asio::steady_timer& timer, duration& delay, std::function<void()> operation);
     void updateStoreStatus(bool hasSucceeded, std::string_view call);
+    void recordTransfer(std::string_view source, std::size_t bytes, instant startedAt);
 
     instance_announcement m_self;
     std::vector<std::string> m_seeds;
--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -46,7 +46,7 @@
     m_output = serializeRequest(request);
     m_timeout = timeout;
     m_isHeadRequest = request.method == "HEAD";
-    m_hasReceivedBytes = false;
+    m_receivedBytes = 0;
     if (m_isOpen)
         send();
     else
@@ -135,10 +135,10 @@
             finish(std::move(response));
             return;
         }
-        fail(m_hasReceivedBytes ? http_call_failure::invalidResponse : http_call_failure::noResponse);
+        fail(m_receivedBytes > 0 ? http_call_failure::invalidResponse : http_call_failure::noResponse);
         return;
     }
-    m_hasReceivedBytes = true;
+    m_receivedBytes += length;
     if (m_reader->read({ m_input.data(), length }) != http_read_error::none && !m_response) {
         fail(http_call_failure::invalidResponse);
         return;
--- a/packages/proxy/src/http_client.h
+++ b/packages/proxy/src/http_client.h
@@ -45,6 +45,9 @@
 
     bool isOpen() const { return m_isOpen; }
 
+    /** Number of bytes received for the current call, or for the last one when there is none. */
+    std::size_t receivedBytes() const { return m_receivedBytes; }
+
     /** Whether another request may be sent on this connection. */
     bool isReusable() const { return m_isOpen && m_isKeepAlive && !m_isWriting; }
 
@@ -76,7 +79,7 @@
     bool m_isKeepAlive = true;
     bool m_isHeadRequest = false;
     bool m_isWriting = false;
-    bool m_hasReceivedBytes = false;
+    std::size_t m_receivedBytes = 0;
     std::optional<std::chrono::seconds> m_keepAliveTimeout;
     std::optional<http_message> m_response;
 };
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -230,14 +230,19 @@
     handle<pending_request> pending(new pending_request(m_context));
     pending->done = std::move(done);
     pending->timer.expires_after(timeout);
-    pending->timer.async_wait([this, pending, endpoint](std::error_code error) {
-        if (error || !pending->done)
-            return;
-        m_reachability.recordFailure(endpoint, m_hooks.clock().monotonic);
-        if (auto call = pending->call)
-            call->cancel();
-        pending->finish(std::nullopt);
-    });
+    pending->timer.async_wait(
+        [this, pending, endpoint, timeout, type = std::string(message.value("type"))](std::error_code error) {
+            if (error || !pending->done)
+                return;
+            m_reachability.recordFailure(endpoint, m_hooks.clock().monotonic);
+            m_log.write(event_priority::failure, "peer_request_timeout", {},
+                { { "peer", endpoint }, { "type", type }, { "after", timeout },
+                    { "received",
+                        static_cast<std::uint64_t>(pending->call ? pending->call->receivedBytes() : 0) } });
+            if (auto call = pending->call)
+                call->cancel();
+            pending->finish(std::nullopt);
+        });
     pending->call = link->call(std::move(message), false,
         { nullptr,
             [this, pending, endpoint](peer_message&& response) {
--- a/packages/proxy/src/peer_link.h
+++ b/packages/proxy/src/peer_link.h
@@ -57,6 +57,9 @@
     void cancel();
 
     bool isPayloadCommitted() const { return m_isCommitted; }
+
+    /** Number of bytes of the reply's payload received so far. */
+    std::size_t receivedBytes() const { return m_reply.payload.size(); }
     handle<peer_link> link() const { return m_link; }
 
 private:
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -36,11 +36,29 @@
                        .Name("pomelohub_store_calls_total")
                        .Help("Calls to the platform's store, by result")
                        .Register(m_registry))
+    , m_configurationTransfers(BuildCounter()
+                                   .Name("pomelohub_configuration_transfers_total")
+                                   .Help("Operator state received, by source")
+                                   .Register(m_registry))
+    , m_configurationTransferBytes(BuildCounter()
+                                       .Name("pomelohub_configuration_transfer_bytes_total")
+                                       .Help("Bytes of operator state received, by source")
+                                       .Register(m_registry))
     , m_latency(prometheus::BuildHistogram()
                     .Name("pomelohub_answer_seconds")
                     .Help("Time from the whole request to the answer")
                     .Register(m_registry)
                     .Add({}, latencyBoundsSeconds))
+    , m_decodingTime(prometheus::BuildHistogram()
+                         .Name("pomelohub_configuration_decode_seconds")
+                         .Help("Time to decode a configuration document")
+                         .Register(m_registry)
+                         .Add({}, latencyBoundsSeconds))
+    , m_documentBytes(BuildGauge()
+                          .Name("pomelohub_configuration_document_bytes")
+                          .Help("Size of the last configuration document that was decoded")
+                          .Register(m_registry)
+                          .Add({}))
     , m_configurationVersion(BuildGauge()
                                  .Name("pomelohub_configuration_version")
                                  .Help("Version in force at this node")
@@ -84,6 +102,19 @@
     m_storeCalls.Add({ { "result", succeeded ? "answered" : "failed" } }).Increment();
 }
 
+void proxy_metrics::recordDecoding(std::size_t documentBytes, duration took)
+{
+    m_documentBytes.Set(static_cast<double>(documentBytes));
+    m_decodingTime.Observe(std::chrono::duration<double>(took).count());
+}
+
+void proxy_metrics::recordConfigurationTransfer(std::string_view source, std::size_t bytes)
+{
+    m_configurationTransfers.Add({ { "source", std::string(source) } }).Increment();
+    m_configurationTransferBytes.Add({ { "source", std::string(source) } })
+        .Increment(static_cast<double>(bytes));
+}
+
 void proxy_metrics::setConfigurationVersion(std::uint64_t version)
 {
     m_configurationVersion.Set(static_cast<double>(version));
--- a/packages/proxy/src/proxy_metrics.h
+++ b/packages/proxy/src/proxy_metrics.h
@@ -27,6 +27,10 @@
     void recordHedge();
     void recordCallerDisconnect();
     void recordStoreCall(bool succeeded);
+    /** Records the decoding of a configuration document, valid or not. */
+    void recordDecoding(std::size_t documentBytes, duration took);
+    /** Records operator state received by one way. \param source names the way, from a fixed set. */
+    void recordConfigurationTransfer(std::string_view source, std::size_t bytes);
     void setConfigurationVersion(std::uint64_t version);
     void setKnownNodes(std::size_t count);
     void setDroppedLogLines(std::uint64_t count);
@@ -41,7 +45,11 @@
     prometheus::Family<prometheus::Counter>& m_attemptFailures;
     prometheus::Family<prometheus::Counter>& m_events;
     prometheus::Family<prometheus::Counter>& m_storeCalls;
+    prometheus::Family<prometheus::Counter>& m_configurationTransfers;
+    prometheus::Family<prometheus::Counter>& m_configurationTransferBytes;
     prometheus::Histogram& m_latency;
+    prometheus::Histogram& m_decodingTime;
+    prometheus::Gauge& m_documentBytes;
     prometheus::Gauge& m_configurationVersion;
     prometheus::Gauge& m_knownNodes;
     prometheus::Gauge& m_droppedLogLines;
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -67,7 +67,8 @@
     , m_clock(std::move(clock))
     , m_log(m_settings.node, {}, m_clock)
     , m_quarantine({})
-    , m_controller({ m_dependencies.decodeConfiguration, [this] { onSnapshotPublished(); },
+    , m_controller({ [this](const std::string& document) { return decodeConfiguration(document); },
+          [this] { onSnapshotPublished(); },
           [this](const std::string& reason) {
               m_log.write(event_priority::always, "configuration_refused", {}, { { "reason", reason } });
           } })
@@ -101,6 +102,18 @@
     return limits;
 }
 
+tl::expected<handle<routing_table>, std::string> proxy_node::decodeConfiguration(const std::string& document)
+{
+    auto startedAt = m_clock().monotonic;
+    auto table = m_dependencies.decodeConfiguration(document);
+    auto took = m_clock().monotonic - startedAt;
+    m_metrics.recordDecoding(document.size(), took);
+    m_log.write(event_priority::always, "configuration_decoded", {},
+        { { "version", table ? (*table)->version : 0 },
+            { "bytes", static_cast<std::uint64_t>(document.size()) }, { "took", took } });
+    return table;
+}
+
 control_loop::hooks proxy_node::controlHooks()
 {
     return { m_clock, makeRandom(),
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -69,6 +69,7 @@
     void stopWhenIdle();
     void onSnapshotPublished();
     http_server_limits callerLimits() const;
+    tl::expected<handle<routing_table>, std::string> decodeConfiguration(const std::string& document);
     control_loop::hooks controlHooks();
 
     proxy_settings m_settings;
