Wait for a transfer as long as it makes progress

Callers were answered by an older configuration for as long as a node's link was busy: the node's transfers were given up after 800 ms (a peer) or after the wait and 1.5 s (the store), whatever had come by then was thrown away, and the next one began from nothing.

A time limit for the whole is shorter than a large transfer over a slow link, so the retries only add load.

Before: a reply of 1.5 MB over 10 Mbit/s was given up after 400 ms. After: it arrives, and one that stops arriving is still given up.

--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -40,11 +40,13 @@
 http_client_connection::~http_client_connection() = default;
 
 void http_client_connection::call(const tcp::endpoint& server, const http_message& request,
-    duration connectTimeout, duration timeout, http_call_callback done)
+    duration connectTimeout, duration timeout, http_call_callback done,
+    std::optional<duration> silenceTimeout)
 {
     m_done = std::move(done);
     m_output = serializeRequest(request);
     m_timeout = timeout;
+    m_silenceTimeout = silenceTimeout;
     m_isHeadRequest = request.method == "HEAD";
     m_receivedBytes = 0;
     if (m_isOpen)
@@ -158,6 +160,8 @@
         finish(std::move(response));
         return;
     }
+    if (m_silenceTimeout)
+        startTimer(*m_silenceTimeout, http_call_failure::invalidResponse);
     readMore();
 }
 
--- a/packages/proxy/src/http_client.h
+++ b/packages/proxy/src/http_client.h
@@ -33,9 +33,10 @@
 
     /** Sends \p request, connecting first if necessary. \p done is called once with the response or the
      * failure, unless the call is cancelled. \param timeout is for the response and starts when the request
-     * is sent. Precondition: no other call is in progress. */
+     * is sent. \param silenceTimeout if set, \p timeout is for the first byte of the response only, and this
+     * is the maximum time between two parts of it. Precondition: no other call is in progress. */
     void call(const asio::ip::tcp::endpoint& server, const http_message& request, duration connectTimeout,
-        duration timeout, http_call_callback done);
+        duration timeout, http_call_callback done, std::optional<duration> silenceTimeout = std::nullopt);
 
     /** Closes the connection. A call in progress is abandoned and its callback is not called. */
     void cancel();
@@ -74,6 +75,7 @@
     std::string m_output;
     http_call_callback m_done;
     duration m_timeout {};
+    std::optional<duration> m_silenceTimeout;
     bool m_isOpen = false;
     bool m_isReading = false;
     bool m_isKeepAlive = true;
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -199,6 +199,54 @@
             } });
 }
 
+/** A request of this node itself until its reply. */
+struct peer_forwarder::pending_request : ref_counted<pending_request> {
+    explicit pending_request(asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    asio::steady_timer timer;
+    handle<peer_call> call;
+    std::string endpoint;
+    std::string type;
+    duration timeout {};
+    std::size_t receivedBytes = 0; ///< At the last check.
+    message_hook done;
+
+    void finish(std::optional<peer_message> response)
+    {
+        handle<pending_request> self(this);
+        timer.cancel();
+        call = nullptr;
+        auto hook = std::move(done);
+        done = nullptr;
+        if (hook)
+            hook(std::move(response));
+    }
+};
+
+void peer_forwarder::scheduleTimeout(const handle<pending_request>& pending)
+{
+    pending->timer.expires_after(pending->timeout);
+    pending->timer.async_wait([this, pending](std::error_code error) {
+        if (error || !pending->done)
+            return;
+        auto receivedBytes = pending->call ? pending->call->receivedBytes() : 0;
+        if (receivedBytes > std::exchange(pending->receivedBytes, receivedBytes)) {
+            scheduleTimeout(pending);
+            return;
+        }
+        m_reachability.recordFailure(pending->endpoint, m_hooks.clock().monotonic);
+        m_log.write(event_priority::failure, "peer_request_timeout", {},
+            { { "peer", pending->endpoint }, { "type", pending->type }, { "after", pending->timeout },
+                { "received", static_cast<std::uint64_t>(receivedBytes) } });
+        if (auto call = pending->call)
+            call->cancel();
+        pending->finish(std::nullopt);
+    });
+}
+
 void peer_forwarder::sendRequest(
     const std::string& endpoint, peer_message message, duration timeout, message_hook done)
 {
@@ -207,46 +255,16 @@
         asio::post(m_context, [done] { done(std::nullopt); });
         return;
     }
-    struct pending_request : ref_counted<pending_request> {
-        explicit pending_request(asio::io_context& context)
-            : timer(context)
-        {
-        }
-        asio::steady_timer timer;
-        handle<peer_call> call;
-        message_hook done;
-
-        void finish(std::optional<peer_message> response)
-        {
-            handle<pending_request> self(this);
-            timer.cancel();
-            call = nullptr;
-            auto hook = std::move(done);
-            done = nullptr;
-            if (hook)
-                hook(std::move(response));
-        }
-    };
     handle<pending_request> pending(new pending_request(m_context));
+    pending->endpoint = endpoint;
+    pending->type = message.value("type");
+    pending->timeout = timeout;
     pending->done = std::move(done);
-    pending->timer.expires_after(timeout);
-    pending->timer.async_wait(
-        [this, pending, endpoint, timeout, type = std::string(message.value("type"))](std::error_code error) {
-            if (error || !pending->done)
-                return;
-            m_reachability.recordFailure(endpoint, m_hooks.clock().monotonic);
-            m_log.write(event_priority::failure, "peer_request_timeout", {},
-                { { "peer", endpoint }, { "type", type }, { "after", timeout },
-                    { "received",
-                        static_cast<std::uint64_t>(pending->call ? pending->call->receivedBytes() : 0) } });
-            if (auto call = pending->call)
-                call->cancel();
-            pending->finish(std::nullopt);
-        });
+    scheduleTimeout(pending);
     pending->call = link->call(std::move(message), false,
         { nullptr,
-            [this, pending, endpoint](peer_message&& response) {
-                m_reachability.recordResponse(endpoint);
+            [this, pending](peer_message&& response) {
+                m_reachability.recordResponse(pending->endpoint);
                 pending->finish(std::move(response));
             },
             [pending](peer_call_failure) { pending->finish(std::nullopt); } });
--- a/packages/proxy/src/peer_forwarder.h
+++ b/packages/proxy/src/peer_forwarder.h
@@ -59,8 +59,8 @@
     handle<forward_call> forward(
         const handle<peer_state>& peer, const forwarded_request& request, reply_hook done);
 
-    /** Sends any other request to the node at \p endpoint. \p done gets nothing when no reply arrives within
-     * \p timeout. */
+    /** Sends any other request to the node at \p endpoint. \p done gets nothing when no part of the reply has
+     * arrived for \p timeout. */
     void sendRequest(const std::string& endpoint, peer_message message, duration timeout, message_hook done);
 
     /** Sets the gateway of this node. Precondition: nothing has been forwarded yet. */
@@ -74,6 +74,9 @@
     void closeLinksExcept(const std::set<std::string>& endpoints);
 
 private:
+    struct pending_request;
+
+    void scheduleTimeout(const handle<pending_request>& pending);
     handle<peer_link> linkTo(const std::string& endpoint, const handle<peer_state>& peer);
     void forwardLocally(
         const handle<forward_call>& forwardCall, const forwarded_request& request, reply_hook done);
