Send nodes that are behind the change of a configuration, not the whole document

Callers were answered by configurations that had been replaced more than 2.5 s before: 404 for a route 3.6 s after its confirmation, and requests handled by a version that was two behind.

Cause: the cost of a change grew with the size of all routes, times the copies. Each gossip response carried the whole document to each node that was behind, to two peers each 500 ms and to each peer that asked, and every node read every version from the store. With 0.7 MB a slow link (10 Mbit/s) was filled by copies of which none ended in time: 28 nodes received over 1 MB in one second, one of them for 40 s without applying anything.

Now a peer sends a delta against the document that the asker has (document_delta: chunks at the ends of records, so that entries inserted into a sorted list do not move the rest). A node asks for operator state when it is behind, one peer at a time. About eight nodes of the fleet, spread over its data centres, follow the log with polls of 1 to 3 s; the others hear of a change from peers, and read the log themselves when they have heard of no reader for 1.2 s, few of them first. News spread at once to four peers.

The draw of short polls is gone with the long polls.

--- a/packages/decisions/src/fleet_controller.cpp
+++ b/packages/decisions/src/fleet_controller.cpp
@@ -30,6 +30,7 @@
         (*table)->inheritRequestCounts(*m_routes);
     m_routes = *table;
     m_operators.document = document;
+    m_history.add(document);
     return true;
 }
 
--- a/packages/decisions/src/fleet_controller.h
+++ b/packages/decisions/src/fleet_controller.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "document_history.h"
 #include "peer_state.h"
 #include "request_error.h"
 
@@ -52,6 +53,17 @@
     bool mergeAnnouncements(const std::vector<instance_announcement>& updates);
 
     const operator_state& operators() const { return m_operators; }
+
+    /** Fingerprint of the configuration document; 0 when there is none. */
+    document_fingerprint documentFingerprint() const { return m_history.fingerprint(); }
+
+    /** The delta to the present document from the one with fingerprint \p base. \return null when that is not
+     * one of the last documents. Valid until the next call of a member that is not const. */
+    const document_delta* deltaFrom(document_fingerprint base)
+    {
+        return m_history.deltaFrom(base, m_operators.document);
+    }
+
     const announcement_table& announcements() const { return m_announcements; }
     std::uint64_t version() const { return m_routes ? m_routes->version : 0; }
 
@@ -59,12 +71,15 @@
     handle<const fleet_snapshot> snapshot() const { return m_snapshot.load(); }
 
 private:
+    static constexpr std::size_t maxDocumentVersions = 4;
+
     bool applyDocument(const std::string& document);
     void publish();
     handle<peer_state> peerStateOf(const instance_announcement& announcement);
 
     hooks m_hooks;
     operator_state m_operators;
+    document_history m_history { maxDocumentVersions };
     announcement_table m_announcements;
     handle<const routing_table> m_routes;
     std::map<node_id, handle<peer_state>> m_peers;
--- /dev/null
+++ b/packages/decisions/src/log_readers.h
@@ -0,0 +1,61 @@
+/** \file
+ * Defines logReadersOf(), the choice of the nodes that follow the operators' log for the nodes of their data
+ * centre. The others learn of changes from them, so that the cost of reading a change does not grow with the
+ * number of nodes.
+ */
+#pragma once
+
+#include "instance_announcement.h"
+
+#include <span>
+
+namespace pomelohub {
+
+/** The nodes of \p dataCentre in the order in which they take the duty to read the log. Every node computes
+ * the same order from the same announcements. Thread safety: any thread. */
+std::vector<node_id> logReaderOrder(
+    std::span<const instance_announcement> active, const data_centre_id& dataCentre);
+
+/** Number of nodes that read the log in each data centre, so that about \p fleetReaders do in the whole
+ * fleet; at least 1. Thread safety: any thread. */
+std::size_t logReadersPerDataCentre(std::span<const instance_announcement> active, std::size_t fleetReaders);
+
+struct log_reader_policy {
+    std::size_t fleetReaders = 8; ///< Expected number of readers in the fleet.
+    /** A node reads the log itself after this long without contact to a reader. */
+    duration contactTimeout = std::chrono::milliseconds(1200);
+    /** Added to contactTimeout each time that the number of nodes which come first doubles, so that few nodes
+     * take over from a reader that has failed. */
+    duration takeoverDelay = std::chrono::milliseconds(150);
+};
+
+/** Decides when a node has to read the log itself. Thread safety: one thread at a time. */
+class log_reader_duty {
+public:
+    /** \param now counts as a contact, so that a node that starts first looks for a reader. */
+    log_reader_duty(node_id self, data_centre_id dataCentre, log_reader_policy policy, instant now);
+
+    /** Updates the order of the nodes from \p active, the announcements of the nodes that have not left. */
+    void update(std::span<const instance_announcement> active);
+
+    /** Records a message from a node that follows the log. */
+    void recordContact(instant now) { m_lastContact = now; }
+
+    /** The time from which this node has to read the log unless it has contact to a reader before;
+     * instant::min() if it is a reader. */
+    instant startsAt() const;
+
+    /** The readers of the own data centre other than this node. */
+    const std::vector<node_id>& otherReaders() const { return m_otherReaders; }
+
+private:
+    node_id m_self;
+    data_centre_id m_dataCentre;
+    log_reader_policy m_policy;
+    instant m_lastContact;
+    std::size_t m_readerCount = 1;
+    std::size_t m_rank = 0; ///< Of this node; those below the number of readers are readers.
+    std::vector<node_id> m_otherReaders;
+};
+
+} // namespace pomelohub
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -23,12 +23,15 @@
     , m_pollRetryDelay(policy.initialRetryDelay)
     , m_announceRetryDelay(policy.initialRetryDelay)
     , m_nextListInterval(policy.initialListInterval)
+    , m_readerDuty(m_self.node, m_self.dataCentre, policy.logReaders, m_hooks.clock().monotonic)
 {
 }
 
 void control_loop::start()
 {
+    m_startedAt = m_hooks.clock().monotonic;
     m_controller.mergeAnnouncements({ m_self });
+    m_readerDuty.update(m_controller.announcements().active());
     readOperatorState();
     announce();
     gossip();
@@ -70,12 +73,14 @@
         [this, startedAt = m_hooks.clock().monotonic](tl::expected<operator_state, store_failure> state) {
             updateStoreStatus(state.has_value(), "read_operators");
             if (!state) {
+                m_hasFirstReadFailed = true;
                 scheduleRetry(m_pollTimer, m_pollRetryDelay, [this] { readOperatorState(); });
                 return;
             }
             m_pollRetryDelay = m_policy.initialRetryDelay;
             recordTransfer("snapshot", state->document.size(), startedAt);
-            m_controller.applyState(*state);
+            if (m_controller.applyState(*state))
+                spreadOperatorState();
             pollOperatorLog();
         });
 }
@@ -87,14 +92,10 @@
     return min + std::chrono::microseconds(static_cast<std::int64_t>(drawn));
 }
 
-duration control_loop::nextPollTimeout()
+void control_loop::mergeAnnouncements(const std::vector<instance_announcement>& updates)
 {
-    constexpr std::uint64_t resolution = 1024;
-    auto nodes = static_cast<double>(m_controller.snapshot()->nodes.size());
-    bool isShortPoll
-        = static_cast<double>(m_hooks.random(resolution)) * nodes < m_policy.shortPollNodes * resolution;
-    return isShortPoll ? randomDuration(m_policy.minShortPollTimeout, m_policy.maxShortPollTimeout)
-                       : m_policy.longPollTimeout;
+    if (m_controller.mergeAnnouncements(updates))
+        m_readerDuty.update(m_controller.announcements().active());
 }
 
 void control_loop::pollAfterDelay()
@@ -108,10 +109,20 @@
 
 void control_loop::pollOperatorLog()
 {
+    auto now = m_hooks.clock().monotonic;
+    auto startsAt = m_readerDuty.startsAt();
+    m_isPolling = startsAt <= now;
+    if (!m_isPolling) {
+        m_pollTimer.expires_after(startsAt - now);
+        m_pollTimer.async_wait([this](std::error_code error) {
+            if (!error)
+                pollOperatorLog();
+        });
+        return;
+    }
     auto from = m_controller.operators().position;
-    m_store.pollOperatorChanges(from, nextPollTimeout(),
-        [this, from, startedAt = m_hooks.clock().monotonic](
-            tl::expected<operator_changes, store_failure> read) {
+    m_store.pollOperatorChanges(from, randomDuration(m_policy.minPollTimeout, m_policy.maxPollTimeout),
+        [this, from, startedAt = now](tl::expected<operator_changes, store_failure> read) {
             updateStoreStatus(
                 read.has_value() || read.error() == store_failure::recordsDeleted, "follow_operators");
             if (!read && read.error() == store_failure::recordsDeleted) {
@@ -128,8 +139,9 @@
                     recordTransfer("log", change.document->size(), startedAt);
             }
             // Gossip may have advanced the position during the poll; these records are then already applied.
-            if (m_controller.operators().position == from)
-                m_controller.applyChanges(read->changes, read->position);
+            if (m_controller.operators().position == from
+                && m_controller.applyChanges(read->changes, read->position))
+                spreadOperatorState();
             if (read->changes.empty())
                 pollOperatorLog();
             else
@@ -154,7 +166,7 @@
     m_store.readAnnouncements([this](tl::expected<std::vector<instance_announcement>, store_failure> all) {
         updateStoreStatus(all.has_value(), "read_announcements");
         if (all)
-            m_controller.mergeAnnouncements(*all);
+            mergeAnnouncements(*all);
         m_listTimer.expires_after(
             all ? std::exchange(m_nextListInterval, m_policy.listInterval) : m_policy.maxRetryDelay);
         m_listTimer.async_wait([this](std::error_code error) {
@@ -164,24 +176,53 @@
     });
 }
 
+std::vector<std::string> control_loop::selectEndpoints(std::vector<std::string> candidates, std::size_t count)
+{
+    std::vector<std::string> chosen;
+    while (!candidates.empty() && chosen.size() < count) {
+        auto at = static_cast<std::size_t>(m_hooks.random(candidates.size()));
+        std::swap(candidates[at], candidates.back());
+        chosen.push_back(std::move(candidates.back()));
+        candidates.pop_back();
+    }
+    return chosen;
+}
+
 std::vector<std::string> control_loop::selectGossipPeers()
 {
-    std::vector<std::string> known;
-    for (const auto& each : m_controller.announcements().active()) {
-        if (each.node != m_self.node)
-            known.push_back(each.endpoint);
+    std::vector<std::string> readers;
+    for (const auto& node : m_readerDuty.otherReaders()) {
+        if (const auto* reader = m_controller.announcements().find(node))
+            readers.push_back(reader->endpoint);
     }
-    if (known.empty())
-        known = m_seeds;
-    std::vector<std::string> chosen;
-    while (!known.empty() && chosen.size() < m_policy.gossipFanout) {
-        auto at = static_cast<std::ptrdiff_t>(m_hooks.random(known.size()));
-        chosen.push_back(known[static_cast<std::size_t>(at)]);
-        known.erase(known.begin() + at);
+    auto chosen = selectEndpoints(std::move(readers), 1);
+    std::vector<std::string> others;
+    for (const auto& each : m_controller.announcements().active()) {
+        if (each.node != m_self.node
+            && std::find(chosen.begin(), chosen.end(), each.endpoint) == chosen.end())
+            others.push_back(each.endpoint);
     }
+    if (others.empty() && chosen.empty())
+        others = m_seeds;
+    for (auto& each : selectEndpoints(std::move(others), m_policy.gossipFanout - chosen.size()))
+        chosen.push_back(std::move(each));
     return chosen;
 }
 
+void control_loop::spreadOperatorState()
+{
+    std::vector<std::string> local;
+    std::vector<std::string> remote;
+    for (const auto& each : m_controller.announcements().active()) {
+        if (each.node != m_self.node)
+            (each.dataCentre == m_self.dataCentre ? local : remote).push_back(each.endpoint);
+    }
+    for (const auto& endpoint : selectEndpoints(std::move(local), m_policy.localSpreadFanout))
+        gossipWith(endpoint);
+    for (const auto& endpoint : selectEndpoints(std::move(remote), m_policy.remoteSpreadFanout))
+        gossipWith(endpoint);
+}
+
 void control_loop::gossip()
 {
     for (const auto& endpoint : selectGossipPeers())
@@ -196,25 +237,51 @@
 void control_loop::gossipWith(const std::string& endpoint)
 {
     m_hooks.sendRequest(endpoint, encodeGossip(makeGossip(nullptr)), m_policy.gossipTimeout,
-        [this, endpoint, startedAt = m_hooks.clock().monotonic](std::optional<peer_message> response) {
+        [this, endpoint](const std::optional<peer_message>& response) {
             if (!response)
                 return; // The peer link logs its own failures.
-            if (auto update = decodeGossip(*response); update && update->operators)
-                recordTransfer("peer", update->operators->document.size(), startedAt);
-            if (auto update = decodeGossip(*response))
-                applyGossip(*update, endpoint);
-            else
+            auto update = decodeGossip(*response);
+            if (!update) {
                 m_log.write(event_priority::failure, "gossip_unreadable", {}, { { "peer", endpoint } });
+                return;
+            }
+            applyGossip(*update, endpoint);
+            if (update->position > m_controller.operators().position)
+                requestOperatorState(endpoint);
         });
 }
 
-gossip_update control_loop::makeGossip(const gossip_update* request) const
+void control_loop::requestOperatorState(const std::string& endpoint)
+{
+    auto now = m_hooks.clock().monotonic;
+    bool isFirstRead = m_controller.operators().document.empty() && !m_hasFirstReadFailed
+        && now - m_startedAt < m_policy.firstReadTimeout;
+    if (m_isTransferring || isFirstRead)
+        return;
+    m_isTransferring = true;
+    auto request = makeGossip(nullptr);
+    request.documentBase = m_controller.documentFingerprint();
+    m_hooks.sendRequest(endpoint, encodeGossip(request), m_policy.gossipTimeout,
+        [this, endpoint, startedAt = now](const std::optional<peer_message>& response) {
+            m_isTransferring = false;
+            auto update = response ? decodeGossip(*response) : std::nullopt;
+            if (!update)
+                return; // The next exchange with a peer that is ahead repeats the request.
+            if (update->operators)
+                recordTransfer(
+                    update->operators->document ? "peer" : "peer_delta", response->payload.size(), startedAt);
+            applyGossip(*update, endpoint);
+        });
+}
+
+gossip_update control_loop::makeGossip(const gossip_update* request)
 {
     gossip_update update;
     update.from = m_self.node;
     update.position = m_controller.operators().position;
     update.fingerprint = m_controller.announcements().fingerprint();
     update.quarantined = m_quarantine.notices(m_hooks.clock().monotonic);
+    update.isFollowingLog = isFollowingLog();
     bool differs = request && request->fingerprint != update.fingerprint;
     if (!differs) {
         update.announcements = { m_self };
@@ -222,19 +289,54 @@
         for (const auto& [node, each] : m_controller.announcements().all())
             update.announcements.push_back(each);
     }
-    if (request && request->position < update.position && !m_controller.operators().document.empty())
-        update.operators = m_controller.operators();
+    if (request && request->documentBase && request->position < update.position)
+        update.operators = makeTransfer(*request->documentBase);
     return update;
 }
 
-void control_loop::applyGossip(const gossip_update& update, const std::string& source)
+operator_transfer control_loop::makeTransfer(document_fingerprint base)
 {
-    m_controller.mergeAnnouncements(update.announcements);
-    if (update.operators && m_controller.applyState(*update.operators)) {
-        m_log.write(event_priority::always, "configuration_from_peer", {},
-            { { "peer", source }, { "position", update.operators->position },
-                { "version", m_controller.version() } });
+    operator_transfer transfer;
+    transfer.position = m_controller.operators().position;
+    transfer.evacuated = m_controller.operators().evacuated;
+    if (base == m_controller.documentFingerprint())
+        return transfer;
+    if (const auto* delta = m_controller.deltaFrom(base))
+        transfer.delta = *delta;
+    else
+        transfer.document = m_controller.operators().document;
+    return transfer;
+}
+
+void control_loop::applyTransfer(const operator_transfer& transfer, const std::string& source)
+{
+    if (transfer.position <= m_controller.operators().position)
+        return;
+    operator_state state { transfer.position, m_controller.operators().document, transfer.evacuated };
+    if (transfer.document)
+        state.document = *transfer.document;
+    if (transfer.delta) {
+        auto document = applyDocumentDelta(state.document, *transfer.delta);
+        if (!document) {
+            m_log.write(event_priority::failure, "configuration_delta_unusable", {}, { { "peer", source } });
+            return; // The document has changed since the request.
+        }
+        state.document = std::move(*document);
     }
+    if (!m_controller.applyState(state))
+        return;
+    m_log.write(event_priority::always, "configuration_from_peer", {},
+        { { "peer", source }, { "position", transfer.position }, { "version", m_controller.version() } });
+    spreadOperatorState();
+}
+
+void control_loop::applyGossip(const gossip_update& update, const std::string& source)
+{
+    if (update.isFollowingLog)
+        m_readerDuty.recordContact(m_hooks.clock().monotonic);
+    mergeAnnouncements(update.announcements);
+    if (update.operators)
+        applyTransfer(*update.operators, source);
     if (!update.quarantined.empty())
         m_quarantine.addNotices(update.quarantined, m_hooks.clock().monotonic);
 }
@@ -248,10 +350,9 @@
     }
     applyGossip(*update, update->from.text());
     auto reply = encodeGossip(makeGossip(&*update));
-    // The sender has newer operator state, so request it.
     const auto* sender = m_controller.announcements().find(update->from);
     if (sender && update->position > m_controller.operators().position)
-        gossipWith(sender->endpoint);
+        requestOperatorState(sender->endpoint);
     return reply;
 }
 
@@ -259,7 +360,7 @@
 {
     m_self.hasLeft = true;
     ++m_self.revision;
-    m_controller.mergeAnnouncements({ m_self });
+    mergeAnnouncements({ m_self });
     for (const auto& endpoint : selectGossipPeers())
         gossipWith(endpoint);
     m_store.announce(
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -8,6 +8,7 @@
 #include "event_log.h"
 #include "fleet_store.h"
 #include "gossip.h"
+#include "log_readers.h"
 #include "peer_choice.h"
 #include "proxy_metrics.h"
 
@@ -16,22 +17,25 @@
 namespace pomelohub {
 
 struct control_policy {
-    duration longPollTimeout = std::chrono::seconds(25); ///< Of most polls of the operators' log.
-    /** Expected number of nodes in the fleet whose current poll has a short timeout. Each node draws anew for
-     * each poll. If a slow store doesn't wake the long polls after a change, one of the short polls reads the
-     * change soon after and gossip spreads it. */
-    double shortPollNodes = 7;
-    duration minShortPollTimeout = std::chrono::seconds(1);
-    duration maxShortPollTimeout = std::chrono::seconds(3);
+    log_reader_policy logReaders;
+    /** Waits of the long polls of the operators' log are drawn from this range. They are short because a slow
+     * store may not wake a poll after a change; the next poll then reads it. */
+    duration minPollTimeout = std::chrono::seconds(1);
+    duration maxPollTimeout = std::chrono::seconds(3);
     duration maxPollDelayAfterChange
         = std::chrono::milliseconds(400); ///< Upper bound; lets one poll return several changes in a row.
     duration initialRetryDelay
         = std::chrono::milliseconds(100); ///< Doubles with each failure, up to maxRetryDelay.
     duration maxRetryDelay = std::chrono::seconds(1);
     duration gossipInterval = std::chrono::milliseconds(500);
-    std::size_t gossipFanout
-        = 2; ///< Peers contacted per interval; an update reaches n nodes in about log3(n) intervals.
+    std::size_t gossipFanout = 2; ///< Peers contacted per interval: a reader of the log and any others.
+    /** Peers that are told at once of new operator state, here and in other data centres. Each of them tells
+     * as many, so that a change reaches n nodes in about log4(n) steps. */
+    std::size_t localSpreadFanout = 3;
+    std::size_t remoteSpreadFanout = 1;
     duration gossipTimeout = std::chrono::milliseconds(800);
+    /** A starting node does not ask peers for the whole document while the store may still send it. */
+    duration firstReadTimeout = std::chrono::seconds(2);
     duration initialListInterval
         = std::chrono::milliseconds(1500); ///< Between the first and the second read of all announcements.
     duration listInterval
@@ -73,15 +77,21 @@
     void readOperatorState();
     void pollOperatorLog();
     void pollAfterDelay();
-    duration nextPollTimeout();
     duration randomDuration(duration min, duration max);
     void announce();
     void readAnnouncements();
     void gossip();
     void gossipWith(const std::string& endpoint);
+    void requestOperatorState(const std::string& endpoint);
+    void spreadOperatorState();
     void applyGossip(const gossip_update& update, const std::string& source);
-    gossip_update makeGossip(const gossip_update* request) const;
+    void applyTransfer(const operator_transfer& transfer, const std::string& source);
+    gossip_update makeGossip(const gossip_update* request);
+    operator_transfer makeTransfer(document_fingerprint base);
     std::vector<std::string> selectGossipPeers();
+    std::vector<std::string> selectEndpoints(std::vector<std::string> candidates, std::size_t count);
+    void mergeAnnouncements(const std::vector<instance_announcement>& updates);
+    bool isFollowingLog() const { return m_isPolling && !m_isStoreUnavailable; }
     void scheduleRetry(asio::steady_timer& timer, duration& delay, std::function<void()> operation);
     void updateStoreStatus(bool hasSucceeded, std::string_view call);
     void recordTransfer(std::string_view source, std::size_t bytes, instant startedAt);
@@ -102,7 +112,12 @@
     duration m_pollRetryDelay;
     duration m_announceRetryDelay;
     duration m_nextListInterval;
+    log_reader_duty m_readerDuty;
+    instant m_startedAt {};
     bool m_isStoreUnavailable = false;
+    bool m_hasFirstReadFailed = false;
+    bool m_isPolling = false; ///< Reads the log itself, rather than learning of changes from peers.
+    bool m_isTransferring = false; ///< A request for operator state is pending; there is one at a time.
 };
 
 } // namespace pomelohub
--- a/packages/proxy/src/gossip.cpp
+++ b/packages/proxy/src/gossip.cpp
@@ -28,22 +28,48 @@
         return result;
     }
 
-    json toJson(const operator_state& state)
+    json toJson(const document_delta& delta)
     {
-        auto evacuated = json::array();
-        for (const auto& each : state.evacuated)
-            evacuated.push_back(each.text());
-        return { { "position", state.position }, { "document", state.document }, { "evacuated", evacuated } };
+        auto parts = json::array();
+        for (const auto& part : delta.parts)
+            parts.push_back({ part.offset, part.length, part.text });
+        return { { "base", delta.base }, { "target", delta.target }, { "parts", std::move(parts) } };
     }
 
-    operator_state parseOperatorState(const json& value)
+    document_delta parseDelta(const json& value)
     {
-        operator_state state;
-        state.position = value.at("position").get<std::uint64_t>();
-        state.document = value.at("document").get<std::string>();
+        document_delta delta { value.at("base").get<document_fingerprint>(),
+            value.at("target").get<document_fingerprint>(), {} };
+        for (const auto& part : value.at("parts")) {
+            delta.parts.push_back({ part.at(0).get<std::uint64_t>(), part.at(1).get<std::uint64_t>(),
+                part.at(2).get<std::string>() });
+        }
+        return delta;
+    }
+
+    json toJson(const operator_transfer& transfer)
+    {
+        json result { { "position", transfer.position }, { "evacuated", json::array() } };
+        for (const auto& each : transfer.evacuated)
+            result["evacuated"].push_back(each.text());
+        if (transfer.document)
+            result["document"] = *transfer.document;
+        if (transfer.delta)
+            result["delta"] = toJson(*transfer.delta);
+        return result;
+    }
+
+    operator_transfer parseOperatorTransfer(const json& value)
+    {
+        operator_transfer transfer;
+        transfer.position = value.at("position").get<std::uint64_t>();
         for (const auto& each : value.at("evacuated"))
-            state.evacuated.insert(data_centre_id(each.get<std::string>()));
-        return state;
+            transfer.evacuated.insert(data_centre_id(each.get<std::string>()));
+        if (value.contains("document"))
+            transfer.document = value.at("document").get<std::string>();
+        if (value.contains("delta"))
+            transfer.delta = parseDelta(value.at("delta"));
+        return transfer;
     }
 
     gossip_update parseGossip(const json& body)
@@ -55,7 +81,10 @@
         for (const auto& each : body.at("announcements"))
             update.announcements.push_back(parseAnnouncement(each));
         if (body.contains("operators"))
-            update.operators = parseOperatorState(body.at("operators"));
+            update.operators = parseOperatorTransfer(body.at("operators"));
+        update.isFollowingLog = body.value("following_log", false);
+        if (body.contains("document_base"))
+            update.documentBase = body.at("document_base").get<document_fingerprint>();
         for (const auto& each : body.at("quarantined")) {
             update.quarantined.push_back({ each.at("fingerprint").get<request_fingerprint>(),
                 std::chrono::milliseconds(each.at("left_ms").get<std::int64_t>()) });
@@ -83,9 +112,11 @@
 {
     json body { { "from", update.from.text() }, { "position", update.position },
         { "fingerprint", update.fingerprint }, { "announcements", json::array() },
-        { "quarantined", json::array() } };
+        { "quarantined", json::array() }, { "following_log", update.isFollowingLog } };
     for (const auto& each : update.announcements)
         body["announcements"].push_back(toJson(each));
+    if (update.documentBase)
+        body["document_base"] = *update.documentBase;
     if (update.operators)
         body["operators"] = toJson(*update.operators);
     for (const auto& each : update.quarantined)
--- a/packages/proxy/src/gossip.h
+++ b/packages/proxy/src/gossip.h
@@ -10,6 +10,15 @@
 
 namespace pomelohub {
 
+/** Operator state for a node that is behind. */
+struct operator_transfer {
+    std::uint64_t position = 0;
+    std::set<data_centre_id> evacuated;
+    /** The document: whole or as a delta to the receiver's; neither if the receiver has it. */
+    std::optional<std::string> document;
+    std::optional<document_delta> delta;
+};
+
 /** Content of a gossip request or response. */
 struct gossip_update {
     node_id from;
@@ -18,7 +27,12 @@
         = 0; ///< Of the sender's announcement table; equal tables have equal fingerprints.
     std::vector<instance_announcement>
         announcements; ///< The sender's own, or all it knows if fingerprints differ.
-    std::optional<operator_state> operators; ///< Only sent if the receiver's position is lower.
+    /** Whether the sender reads the operators' log itself, with success so far. */
+    bool isFollowingLog = false;
+    /** In a request: the sender asks for newer operator state and has the document with this fingerprint, or
+     * none if it is 0. */
+    std::optional<document_fingerprint> documentBase;
+    std::optional<operator_transfer> operators; ///< In a response to a request with a documentBase.
     std::vector<quarantine_notice> quarantined;
 };
 
