Decode only the last valid document of a batch

A node that had missed several versions decoded and published each in turn before callers got answers by the newest one. Each replaces those before it, so the newest valid one is looked for from the end. The new test fails on the code before: it decoded four documents, and three of them came into force.

--- a/packages/decisions/src/fleet_controller.cpp
+++ b/packages/decisions/src/fleet_controller.cpp
@@ -52,9 +52,10 @@
 bool fleet_controller::applyChanges(const std::vector<operator_change>& changes, std::uint64_t position)
 {
     bool isChanged = false;
+    // Each document replaces the ones before it, so only the last valid one is needed.
+    for (auto each = changes.rbegin(); each != changes.rend() && !isChanged; ++each)
+        isChanged = each->document && applyDocument(*each->document);
     for (const auto& change : changes) {
-        if (change.document)
-            isChanged = applyDocument(*change.document) || isChanged;
         if (!change.dataCentre)
             continue;
         if (change.isEvacuated)
--- a/test/proxy/fleet_controller.cpp
+++ b/test/proxy/fleet_controller.cpp
@@ -23,8 +23,12 @@
 struct controller_fixture {
     int published = 0;
     std::vector<std::string> refused;
-    fleet_controller controller { { decode, [this] { ++published; },
-        [this](const std::string& reason) { refused.push_back(reason); } } };
+    std::vector<std::string> decoded;
+    fleet_controller controller { { [this](const std::string& document) {
+                                       decoded.push_back(document);
+                                       return decode(document);
+                                   },
+        [this] { ++published; }, [this](const std::string& reason) { refused.push_back(reason); } } };
 };
 
 operator_change change(const char* document)
@@ -66,6 +70,15 @@
     CHECK(fixture.refused.size() == 2);
 }
 
+TEST_CASE("Of several documents in a row the last valid one comes into force, and no earlier one is decoded")
+{
+    controller_fixture fixture;
+    CHECK(fixture.controller.applyChanges({ change("1"), change("2"), change("5"), change("cut {") }, 4));
+    CHECK(fixture.controller.version() == 5);
+    CHECK(fixture.decoded == std::vector<std::string> { "cut {", "5" });
+    CHECK(fixture.refused.size() == 1);
+}
+
 TEST_CASE("An older state from a peer changes nothing")
 {
     controller_fixture fixture;
