Compress operator state between nodes and encode it once

It is compressed now (zlib), and kept encoded for the next node that asks from the same document; most do.

--- a/packages/decisions/src/document_history.cpp
+++ b/packages/decisions/src/document_history.cpp
@@ -19,6 +19,8 @@
 
 const document_delta* document_history::deltaFrom(document_fingerprint base, std::string_view newest)
 {
+    if (base == fingerprint())
+        return nullptr;
     if (m_lastDelta && m_lastDelta->base == base)
         return &*m_lastDelta;
     auto found = std::find_if(m_versions.begin(), m_versions.end(),
--- a/packages/decisions/src/document_history.h
+++ b/packages/decisions/src/document_history.h
@@ -26,7 +26,8 @@
     }
 
     /** The delta from the version \p base to the newest one, \p newest. \return null when \p base is not
-     * known. The result is valid until the next call of a member that is not const. */
+     * known or is the newest version. The result is valid until the next call of a member that is not const.
+     */
     const document_delta* deltaFrom(document_fingerprint base, std::string_view newest);
 
 private:
--- a/packages/decisions/src/fleet_controller.h
+++ b/packages/decisions/src/fleet_controller.h
@@ -58,7 +58,8 @@
     document_fingerprint documentFingerprint() const { return m_history.fingerprint(); }
 
     /** The delta to the present document from the one with fingerprint \p base. \return null when that is not
-     * one of the last documents. Valid until the next call of a member that is not const. */
+     * one of the last documents, or is the present one. Valid until the next call of a member that is not
+     * const. */
     const document_delta* deltaFrom(document_fingerprint base)
     {
         return m_history.deltaFrom(base, m_operators.document);
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -245,7 +245,7 @@
                 m_log.write(event_priority::failure, "gossip_unreadable", {}, { { "peer", endpoint } });
                 return;
             }
-            applyGossip(*update, endpoint);
+            applyGossip(*update);
             if (update->position > m_controller.operators().position)
                 requestOperatorState(endpoint);
         });
@@ -267,10 +267,9 @@
             auto update = response ? decodeGossip(*response) : std::nullopt;
             if (!update)
                 return; // The next exchange with a peer that is ahead repeats the request.
+            applyGossip(*update);
             if (update->operators)
-                recordTransfer(
-                    update->operators->document ? "peer" : "peer_delta", response->payload.size(), startedAt);
-            applyGossip(*update, endpoint);
+                applyTransfer(*update->operators, endpoint, startedAt);
         });
 }
 
@@ -290,26 +289,33 @@
             update.announcements.push_back(each);
     }
     if (request && request->documentBase && request->position < update.position)
-        update.operators = makeTransfer(*request->documentBase);
+        update.operators = encodedTransfer(*request->documentBase);
     return update;
 }
 
-operator_transfer control_loop::makeTransfer(document_fingerprint base)
+const std::string& control_loop::encodedTransfer(document_fingerprint base)
 {
-    operator_transfer transfer;
-    transfer.position = m_controller.operators().position;
-    transfer.evacuated = m_controller.operators().evacuated;
-    if (base == m_controller.documentFingerprint())
-        return transfer;
+    const auto& operators = m_controller.operators();
+    if (m_lastTransfer.position == operators.position && m_lastTransfer.base == base)
+        return m_lastTransfer.bytes;
+    operator_transfer transfer { operators.position, operators.evacuated, {}, {} };
     if (const auto* delta = m_controller.deltaFrom(base))
         transfer.delta = *delta;
-    else
-        transfer.document = m_controller.operators().document;
-    return transfer;
+    else if (base != m_controller.documentFingerprint())
+        transfer.document = operators.document;
+    m_lastTransfer = { operators.position, base, encodeOperatorTransfer(transfer) };
+    return m_lastTransfer.bytes;
 }
 
-void control_loop::applyTransfer(const operator_transfer& transfer, const std::string& source)
+void control_loop::applyTransfer(std::string_view bytes, const std::string& source, instant startedAt)
 {
+    auto decoded = decodeOperatorTransfer(bytes);
+    if (!decoded) {
+        m_log.write(event_priority::failure, "gossip_unreadable", {}, { { "peer", source } });
+        return;
+    }
+    const auto& transfer = *decoded;
+    recordTransfer(transfer.document ? "peer" : "peer_delta", bytes.size(), startedAt);
     if (transfer.position <= m_controller.operators().position)
         return;
     operator_state state { transfer.position, m_controller.operators().document, transfer.evacuated };
@@ -330,13 +336,11 @@
     spreadOperatorState();
 }
 
-void control_loop::applyGossip(const gossip_update& update, const std::string& source)
+void control_loop::applyGossip(const gossip_update& update)
 {
     if (update.isFollowingLog)
         m_readerDuty.recordContact(m_hooks.clock().monotonic);
     mergeAnnouncements(update.announcements);
-    if (update.operators)
-        applyTransfer(*update.operators, source);
     if (!update.quarantined.empty())
         m_quarantine.addNotices(update.quarantined, m_hooks.clock().monotonic);
 }
@@ -348,7 +352,7 @@
         m_log.write(event_priority::failure, "gossip_unreadable", {}, {});
         return std::nullopt;
     }
-    applyGossip(*update, update->from.text());
+    applyGossip(*update);
     auto reply = encodeGossip(makeGossip(&*update));
     const auto* sender = m_controller.announcements().find(update->from);
     if (sender && update->position > m_controller.operators().position)
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -84,10 +84,10 @@
     void gossipWith(const std::string& endpoint);
     void requestOperatorState(const std::string& endpoint);
     void spreadOperatorState();
-    void applyGossip(const gossip_update& update, const std::string& source);
-    void applyTransfer(const operator_transfer& transfer, const std::string& source);
+    void applyGossip(const gossip_update& update);
+    void applyTransfer(std::string_view bytes, const std::string& source, instant startedAt);
     gossip_update makeGossip(const gossip_update* request);
-    operator_transfer makeTransfer(document_fingerprint base);
+    const std::string& encodedTransfer(document_fingerprint base);
     std::vector<std::string> selectGossipPeers();
     std::vector<std::string> selectEndpoints(std::vector<std::string> candidates, std::size_t count);
     void mergeAnnouncements(const std::vector<instance_announcement>& updates);
@@ -112,6 +112,11 @@
     duration m_pollRetryDelay;
     duration m_announceRetryDelay;
     duration m_nextListInterval;
+    struct {
+        std::uint64_t position = 0;
+        document_fingerprint base = 0;
+        std::string bytes;
+    } m_lastTransfer; ///< Encoded; most nodes that are behind have the same document.
     log_reader_duty m_readerDuty;
     instant m_startedAt {};
     bool m_isStoreUnavailable = false;
--- a/packages/proxy/src/gossip.cpp
+++ b/packages/proxy/src/gossip.cpp
@@ -1,5 +1,7 @@
 #include "gossip.h"
 
+#include "compression.h"
+
 #include <nlohmann/json.hpp>
 
 namespace pomelohub {
@@ -8,6 +10,8 @@
 
     using nlohmann::json;
 
+    constexpr std::size_t maxTransferBytes = 64 << 20;
+
     json toJson(const instance_announcement& each)
     {
         return { { "node", each.node.text() }, { "life", each.life }, { "revision", each.revision },
@@ -80,8 +84,10 @@
         update.fingerprint = body.at("fingerprint").get<std::uint64_t>();
         for (const auto& each : body.at("announcements"))
             update.announcements.push_back(parseAnnouncement(each));
-        if (body.contains("operators"))
-            update.operators = parseOperatorTransfer(body.at("operators"));
+        if (body.contains("operators")) {
+            const auto& bytes = body.at("operators").get_binary();
+            update.operators.emplace(bytes.begin(), bytes.end());
+        }
         update.isFollowingLog = body.value("following_log", false);
         if (body.contains("document_base"))
             update.documentBase = body.at("document_base").get<document_fingerprint>();
@@ -108,6 +114,25 @@
     }
 }
 
+std::string encodeOperatorTransfer(const operator_transfer& transfer)
+{
+    std::string bytes;
+    json::to_msgpack(toJson(transfer), bytes);
+    return compress(bytes);
+}
+
+std::optional<operator_transfer> decodeOperatorTransfer(std::string_view bytes)
+{
+    auto whole = decompress(bytes, maxTransferBytes);
+    if (!whole)
+        return std::nullopt;
+    try {
+        return parseOperatorTransfer(json::from_msgpack(*whole));
+    } catch (const json::exception&) {
+        return std::nullopt; // The caller logs the invalid message.
+    }
+}
+
 peer_message encodeGossip(const gossip_update& update)
 {
     json body { { "from", update.from.text() }, { "position", update.position },
@@ -118,7 +143,7 @@
     if (update.documentBase)
         body["document_base"] = *update.documentBase;
     if (update.operators)
-        body["operators"] = toJson(*update.operators);
+        body["operators"] = json::binary({ update.operators->begin(), update.operators->end() });
     for (const auto& each : update.quarantined)
         body["quarantined"].push_back(
             { { "fingerprint", each.fingerprint }, { "left_ms", each.timeLeft.count() } });
--- a/packages/proxy/src/gossip.h
+++ b/packages/proxy/src/gossip.h
@@ -32,10 +32,18 @@
     /** In a request: the sender asks for newer operator state and has the document with this fingerprint, or
      * none if it is 0. */
     std::optional<document_fingerprint> documentBase;
-    std::optional<operator_transfer> operators; ///< In a response to a request with a documentBase.
+    /** An encoded operator_transfer, in a response to a request with a documentBase. It is encoded once for
+     * all nodes that ask for the same. */
+    std::optional<std::string> operators;
     std::vector<quarantine_notice> quarantined;
 };
 
+/** Encodes and compresses \p transfer. */
+std::string encodeOperatorTransfer(const operator_transfer& transfer);
+
+/** \return nothing if \p bytes can't be decoded. */
+std::optional<operator_transfer> decodeOperatorTransfer(std::string_view bytes);
+
 peer_message encodeGossip(const gossip_update& update);
 
 /** \return nothing if \p message can't be decoded. */
