Exchange only the announcements that differ

The same fault in another place: a gossip response carried the announcements of all nodes whenever the tables of the two differed in any, which is always so somewhere while nodes join or restart. With 2,100 nodes that is 183 KB for one changed announcement, in each of the exchanges of each node. Callers have not been seen to suffer from it yet.

A response with another fingerprint now carries the fingerprints of 64 parts of the table, and one further exchange the announcements of the parts that differ, in both directions. Evidence: the new test (2,100 nodes, one change at each side) receives 183,158 bytes on the code before, against a limit of 31,500, and passes now; both tables end up the same.

--- a/packages/decisions/src/instance_announcement.cpp
+++ b/packages/decisions/src/instance_announcement.cpp
@@ -2,6 +2,7 @@
 
 #include "hashing.h"
 
+#include <numeric>
 #include <tuple>
 
 namespace pomelohub {
@@ -13,6 +14,16 @@
         return std::tuple(announcement.life, announcement.revision, announcement.hasLeft);
     }
 
+    std::uint64_t fingerprintOf(const instance_announcement& entry)
+    {
+        return stableHash(entry.node.text(), entry.life * 31 + entry.revision * 2 + (entry.hasLeft ? 1 : 0));
+    }
+
+    std::size_t partOf(const node_id& node)
+    {
+        return stableHash(node.text()) % std::tuple_size_v<announcement_table::part_fingerprints>;
+    }
+
 } // namespace
 
 bool announcement_table::isEndpointOwnedByNewer(const instance_announcement& update) const
@@ -63,12 +74,27 @@
 
 std::uint64_t announcement_table::fingerprint() const
 {
-    std::uint64_t sum = 0;
+    auto parts = partFingerprints();
+    return std::accumulate(parts.begin(), parts.end(), std::uint64_t { 0 });
+}
+
+announcement_table::part_fingerprints announcement_table::partFingerprints() const
+{
+    part_fingerprints parts {};
+    for (const auto& [node, entry] : m_entries)
+        parts[partOf(node)] += fingerprintOf(entry);
+    return parts;
+}
+
+std::vector<instance_announcement> announcement_table::entriesThatDiffer(const part_fingerprints& other) const
+{
+    auto own = partFingerprints();
+    std::vector<instance_announcement> result;
     for (const auto& [node, entry] : m_entries) {
-        auto seed = entry.life * 31 + entry.revision * 2 + (entry.hasLeft ? 1 : 0);
-        sum += stableHash(node.text(), seed);
+        if (own[partOf(node)] != other[partOf(node)])
+            result.push_back(entry);
     }
-    return sum;
+    return result;
 }
 
 } // namespace pomelohub
--- a/packages/decisions/src/instance_announcement.h
+++ b/packages/decisions/src/instance_announcement.h
@@ -6,6 +6,7 @@
 
 #include "core_types.h"
 
+#include <array>
 #include <map>
 #include <vector>
 
@@ -42,6 +43,14 @@
      * same contents have the same fingerprint. */
     std::uint64_t fingerprint() const;
 
+    /** Fingerprints of the parts of the table, into which a hash divides the nodes. Their comparison tells
+     * which parts of two tables differ. */
+    using part_fingerprints = std::array<std::uint64_t, 64>;
+    part_fingerprints partFingerprints() const;
+
+    /** The announcements in the parts whose fingerprint differs from that in \p other. */
+    std::vector<instance_announcement> entriesThatDiffer(const part_fingerprints& other) const;
+
 private:
     bool isEndpointOwnedByNewer(const instance_announcement& update) const;
 
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -245,12 +245,27 @@
                 m_log.write(event_priority::failure, "gossip_unreadable", {}, { { "peer", endpoint } });
                 return;
             }
+            if (update->partFingerprints)
+                exchangeAnnouncements(endpoint, *update->partFingerprints);
             applyGossip(*update);
             if (update->position > m_controller.operators().position)
                 requestOperatorState(endpoint);
         });
 }
 
+void control_loop::exchangeAnnouncements(
+    const std::string& endpoint, const announcement_table::part_fingerprints& other)
+{
+    auto request = makeGossip(nullptr);
+    request.announcements = m_controller.announcements().entriesThatDiffer(other);
+    request.partFingerprints = m_controller.announcements().partFingerprints();
+    m_hooks.sendRequest(endpoint, encodeGossip(request), m_policy.gossipTimeout,
+        [this](const std::optional<peer_message>& response) {
+            if (auto update = response ? decodeGossip(*response) : std::nullopt)
+                applyGossip(*update);
+        });
+}
+
 void control_loop::requestOperatorState(const std::string& endpoint)
 {
     auto now = m_hooks.clock().monotonic;
@@ -281,13 +296,11 @@
     update.fingerprint = m_controller.announcements().fingerprint();
     update.quarantined = m_quarantine.notices(m_hooks.clock().monotonic);
     update.isFollowingLog = isFollowingLog();
-    bool differs = request && request->fingerprint != update.fingerprint;
-    if (!differs) {
-        update.announcements = { m_self };
-    } else {
-        for (const auto& [node, each] : m_controller.announcements().all())
-            update.announcements.push_back(each);
-    }
+    update.announcements = { m_self };
+    if (request && request->partFingerprints)
+        update.announcements = m_controller.announcements().entriesThatDiffer(*request->partFingerprints);
+    else if (request && request->fingerprint != update.fingerprint)
+        update.partFingerprints = m_controller.announcements().partFingerprints();
     if (request && request->documentBase && request->position < update.position)
         update.operators = encodedTransfer(*request->documentBase);
     return update;
@@ -353,11 +366,11 @@
         return std::nullopt;
     }
     applyGossip(*update);
-    auto reply = encodeGossip(makeGossip(&*update));
+    auto response = encodeGossip(makeGossip(&*update));
     const auto* sender = m_controller.announcements().find(update->from);
     if (sender && update->position > m_controller.operators().position)
         requestOperatorState(sender->endpoint);
-    return reply;
+    return response;
 }
 
 void control_loop::leave(std::function<void()> done)
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -82,6 +82,8 @@
     void readAnnouncements();
     void gossip();
     void gossipWith(const std::string& endpoint);
+    void exchangeAnnouncements(
+        const std::string& endpoint, const announcement_table::part_fingerprints& other);
     void requestOperatorState(const std::string& endpoint);
     void spreadOperatorState();
     void applyGossip(const gossip_update& update);
--- a/packages/proxy/src/gossip.cpp
+++ b/packages/proxy/src/gossip.cpp
@@ -89,6 +89,9 @@
             update.operators.emplace(bytes.begin(), bytes.end());
         }
         update.isFollowingLog = body.value("following_log", false);
+        if (body.contains("part_fingerprints"))
+            update.partFingerprints
+                = body.at("part_fingerprints").get<announcement_table::part_fingerprints>();
         if (body.contains("document_base"))
             update.documentBase = body.at("document_base").get<document_fingerprint>();
         for (const auto& each : body.at("quarantined")) {
@@ -140,6 +143,8 @@
         { "quarantined", json::array() }, { "following_log", update.isFollowingLog } };
     for (const auto& each : update.announcements)
         body["announcements"].push_back(toJson(each));
+    if (update.partFingerprints)
+        body["part_fingerprints"] = *update.partFingerprints;
     if (update.documentBase)
         body["document_base"] = *update.documentBase;
     if (update.operators)
--- a/packages/proxy/src/gossip.h
+++ b/packages/proxy/src/gossip.h
@@ -25,8 +25,10 @@
     std::uint64_t position = 0; ///< Up to which the sender has applied the operators' log.
     std::uint64_t fingerprint
         = 0; ///< Of the sender's announcement table; equal tables have equal fingerprints.
-    std::vector<instance_announcement>
-        announcements; ///< The sender's own, or all it knows if fingerprints differ.
+    std::vector<instance_announcement> announcements; ///< The sender's own, or those that may differ.
+    /** Of the sender's table: in a response if the fingerprints differ, and in the request that follows it,
+     * to which both sides add the announcements of the parts that differ. */
+    std::optional<announcement_table::part_fingerprints> partFingerprints;
     /** Whether the sender reads the operators' log itself, with success so far. */
     bool isFollowingLog = false;
     /** In a request: the sender asks for newer operator state and has the document with this fingerprint, or
--- a/test/proxy/configuration_spread.cpp
+++ b/test/proxy/configuration_spread.cpp
@@ -237,6 +237,34 @@
         CHECK(each->largestReply < documentOf(2).size() / 20);
 }
 
+TEST_CASE("Nodes that differ in one announcement of a large fleet exchange little and end up with the same")
+{
+    fleet_fixture fleet(2);
+    constexpr std::size_t known = 2100;
+    std::vector<instance_announcement> others;
+    for (std::size_t i = 0; i < known; ++i)
+        others.push_back({ node_id("other-" + std::to_string(i)), 1, 0, "", data_centre_id("far"),
+            service_id("a"), true });
+    for (auto& each : others)
+        each.endpoint = "10.0.0.1:" + std::to_string(1 + (&each - others.data()));
+    for (const auto& member : fleet.members)
+        member->controller.mergeAnnouncements(others);
+    fleet.startAll();
+    fleet.resetCounts();
+    others[0].life = 2;
+    fleet.members[0]->controller.mergeAnnouncements({ others[0] });
+    others[1].life = 2;
+    fleet.members[1]->controller.mergeAnnouncements({ others[1] });
+    auto isSame = [&] {
+        return fleet.members[0]->controller.announcements().fingerprint()
+            == fleet.members[1]->controller.announcements().fingerprint();
+    };
+    CHECK(runUntil(fleet.context, isSame));
+    constexpr std::size_t announcementBytes = 150;
+    for (const auto& member : fleet.members)
+        CHECK(member->bytesReceived < known * announcementBytes / 10);
+}
+
 TEST_CASE("A node that loses every peer reads the next change from the store in time")
 {
     fleet_fixture fleet(20);
