--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -394,3 +394,52 @@
         CHECK(fixture.backend.requests.empty());
     }
 }
+
+TEST_CASE("A backend server gets no more requests than the limit that it names until it names none")
+{
+    constexpr double perSecond = 1;
+    constexpr auto period = 2s;
+    constexpr std::size_t tolerated
+        = 11; ///< The users' bound for 4 s: one and a half times the limit, and 5.
+    auto withLimit = gateway_fixture::good("r1");
+    withLimit.insert(withLimit.find("Content-Length"), "Server-Limit: 1\r\n");
+    gateway_fixture fixture(withLimit);
+    CHECK(fixture.submit().response);
+    auto sendFor = [&](duration time) {
+        fixture.backend.requests.clear();
+        std::vector<handle<gateway_request>> sent;
+        auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            sent.push_back(fixture.make());
+            sent.back()->request.maxQueueTime = 300ms;
+            sent.back()->onReply = [](const forward_reply&) {};
+            fixture.gateway.submit(sent.back());
+            fixture.context.restart();
+            fixture.context.run_for(20ms);
+        }
+        for (const auto& each : sent)
+            fixture.gateway.cancel(*each);
+        return fixture.backend.requests.size();
+    };
+    auto limited = sendFor(period);
+    CHECK(limited <= tolerated);
+    CHECK(static_cast<double>(limited) >= perSecond);
+    fixture.backend.reply = gateway_fixture::good("r1");
+    CHECK(runUntil(fixture.context, [&] { return sendFor(100ms) > 0; }));
+    CHECK(sendFor(period) > 2 * tolerated);
+}
+
+TEST_CASE("A backend server that says in an answer that it leaves gets no further request")
+{
+    auto leaving = gateway_fixture::good("r1");
+    leaving.insert(leaving.find("Content-Length"), "Server-Leaving: 1\r\n");
+    gateway_fixture fixture(leaving);
+    CHECK(fixture.submit().response);
+    checkNotRun(fixture.submit(), refusal_reason::backendServerDraining);
+    fixture.beat();
+    checkNotRun(fixture.submit(), refusal_reason::backendServerDraining);
+    CHECK(fixture.backend.requests.size() == 1);
+    fixture.backend.reply = gateway_fixture::good("r1");
+    fixture.beat("i-2", false, 2000ms);
+    CHECK(fixture.submit().response);
+}
