Hold the limit of requests that a backend server names in its answers

Cause: no code read the field Server-Limit.

The node beside a server is the only way to it, so that node alone holds the limit: it reads the field in each answer, also in one that rejects the request, and starts no more requests than that (start_rate_limit, shared with the warm-up rate) until an answer names no limit. Trials, hedges and nested calls pass the same bucket. A request that would wait too long for it is refused at once with the wait, and the load that the node reports counts only as many slots as the limit lets run, so that the entries choose other servers. A limit below one request in four seconds is treated as that, since only an answer can tell that it has ended.

--- a/packages/decisions/src/admission_queue.cpp
+++ b/packages/decisions/src/admission_queue.cpp
@@ -10,6 +10,8 @@
     , m_start(std::move(start))
     , m_refuse(std::move(refuse))
     , m_meanLatency(policy.initialMeanLatency)
+    , m_warmupLimit(policy.warmupBurst)
+    , m_requestLimit(policy.requestLimitBurst)
 {
 }
 
@@ -37,19 +39,15 @@
     duration wait {};
     if (m_slotsInUse >= m_slots || requestsAhead > 0)
         wait = scaled(m_meanLatency, (requestsAhead + 1) / std::max(1U, m_slots));
-    if (isWarmingUpAt(now)) {
-        auto missingTokens = requestsAhead + 1 - m_warmupTokens;
-        if (missingTokens > 0) {
-            auto warmupWait = durationOf(missingTokens / m_warmupPerSecond);
-            wait = std::max(wait, std::min(warmupWait, m_warmupEndsAt - now));
-        }
-    }
+    wait = std::max(wait, m_warmupLimit.waitFor(requestsAhead + 1, now));
+    wait = std::max(wait, m_requestLimit.waitFor(requestsAhead + 1, now));
     return wait;
 }
 
 result<void> admission_queue::admit(const admission_request& request, instant now)
 {
-    refillWarmupTokens(now);
+    m_warmupLimit.refill(now);
+    m_requestLimit.refill(now);
     auto timeLeft = request.deadline - now;
     auto minRunTime = scaled(m_meanLatency, m_policy.minTimeLeftFraction);
     if (timeLeft < minRunTime)
@@ -107,35 +105,39 @@
     dispatch(now);
 }
 
-void admission_queue::setWarmupLimit(double perSecond, instant until)
-{
-    if (m_warmupPerSecond != perSecond)
-        m_warmupTokens = std::min(m_warmupTokens, 1.0);
-    m_warmupPerSecond = perSecond;
-    m_warmupEndsAt = until;
-}
+void admission_queue::setWarmupLimit(double perSecond, instant until) { m_warmupLimit.set(perSecond, until); }
 
-void admission_queue::refillWarmupTokens(instant now)
+void admission_queue::setRequestLimit(std::optional<double> perSecond, instant now)
 {
-    auto elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
-    m_refilledAt = now;
-    m_warmupTokens = std::min(m_policy.warmupBurst, m_warmupTokens + elapsed * m_warmupPerSecond);
+    m_requestLimit.refill(now);
+    if (perSecond)
+        m_requestLimit.set(std::max(*perSecond, m_policy.minRequestsPerSecond), instant::max());
+    else
+        m_requestLimit.set(0, {});
+    dispatch(now);
 }
 
-bool admission_queue::takeWarmupToken(instant now)
+std::uint32_t admission_queue::usableSlots(instant now) const
 {
-    refillWarmupTokens(now);
-    if (m_warmupTokens < 1)
-        return false;
-    m_warmupTokens -= 1;
-    return true;
+    auto perSecond = m_requestLimit.perSecond(now);
+    if (perSecond <= 0)
+        return m_slots;
+    // By Little's law, as many requests run at once as start within the time that one takes.
+    auto running = std::ceil(perSecond * std::chrono::duration<double>(m_meanLatency).count());
+    return std::clamp(static_cast<std::uint32_t>(std::min<double>(running, m_slots)), 1U, m_slots);
 }
 
 bool admission_queue::mayStart(instant now)
 {
     if (m_slotsInUse >= m_slots)
         return false;
-    return !isWarmingUpAt(now) || takeWarmupToken(now);
+    m_warmupLimit.refill(now);
+    m_requestLimit.refill(now);
+    if (!m_warmupLimit.mayStart(now) || !m_requestLimit.mayStart(now))
+        return false;
+    m_warmupLimit.take(now);
+    m_requestLimit.take(now);
+    return true;
 }
 
 void admission_queue::refuseExpired(handle<queued_request> request)
@@ -172,11 +174,11 @@
 
 std::optional<instant> admission_queue::nextStartTime(instant now) const
 {
-    if (waitingCount() == 0 || m_slotsInUse >= m_slots || !isWarmingUpAt(now))
+    bool isLimited = m_warmupLimit.isActive(now) || m_requestLimit.isActive(now);
+    if (waitingCount() == 0 || m_slotsInUse >= m_slots || !isLimited)
         return std::nullopt;
-    auto missingTokens = std::max(0.0, 1 - m_warmupTokens);
-    auto wait = durationOf(missingTokens / m_warmupPerSecond);
-    return std::min(m_warmupEndsAt, m_refilledAt + wait + std::chrono::milliseconds(1));
+    auto wait = std::max(m_warmupLimit.waitFor(1, now), m_requestLimit.waitFor(1, now));
+    return now + wait + std::chrono::milliseconds(1);
 }
 
 } // namespace pomelohub
--- a/packages/decisions/src/admission_queue.h
+++ b/packages/decisions/src/admission_queue.h
@@ -7,6 +7,7 @@
 
 #include "fair_queue.h"
 #include "request_error.h"
+#include "start_rate_limit.h"
 
 #include <map>
 
@@ -31,6 +32,10 @@
     /** Factor by which requests of lower rank may prolong a wait beyond its maximum. */
     double maxQueueTimeSlack = 1.5;
     double warmupBurst = 2; ///< Requests that may be sent to a cold server at once.
+    double requestLimitBurst = 2; ///< Requests that may be sent at once to a server that names a limit.
+    /** Lowest rate at which a server is sent requests that names a lower limit: its answers tell when the
+     * limit ends. */
+    double minRequestsPerSecond = 0.25;
 };
 
 /** Thread safety: one thread at a time. */
@@ -55,8 +60,8 @@
     /** Refuses all waiting requests for \p reason. */
     void refuseAll(const request_error& reason, instant now);
 
-    /** Refuses expired requests and starts waiting ones while slots and the warm-up rate allow. To be called
-     * at nextStartTime(). */
+    /** Refuses expired requests and starts waiting ones while slots and the limits of the rate allow. To be
+     * called at nextStartTime(). */
     void dispatch(instant now);
 
     void setSlots(std::uint32_t slots, instant now);
@@ -64,7 +69,14 @@
     /** Limits starts to \p perSecond until \p until, while the server is cold; 0 for no limit. */
     void setWarmupLimit(double perSecond, instant until);
 
-    /** When the warm-up rate lets the next waiting request start; nothing when no request waits for that. */
+    /** Limits starts to \p perSecond, as the server asks in its answers; nothing for no limit. */
+    void setRequestLimit(std::optional<double> perSecond, instant now);
+
+    /** Number of requests that the server can run at once, which a limit of its rate lowers, too. */
+    std::uint32_t usableSlots(instant now) const;
+
+    /** When a limit of the rate lets the next waiting request start; nothing when no request waits for that.
+     */
     std::optional<instant> nextStartTime(instant now) const;
 
     std::size_t waitingCount() const;
@@ -78,9 +90,6 @@
     duration estimatedWait(std::uint32_t rank, instant now) const;
 
 private:
-    bool isWarmingUpAt(instant now) const { return m_warmupPerSecond > 0 && now < m_warmupEndsAt; }
-    bool takeWarmupToken(instant now);
-    void refillWarmupTokens(instant now);
     void expire(instant now);
     void refuseExpired(handle<queued_request> request);
     std::size_t waitingBefore(std::uint32_t rank) const;
@@ -93,10 +102,8 @@
     std::uint32_t m_slots = 1;
     std::uint32_t m_slotsInUse = 0;
     duration m_meanLatency;
-    double m_warmupPerSecond = 0;
-    instant m_warmupEndsAt {};
-    double m_warmupTokens = 0;
-    instant m_refilledAt {};
+    start_rate_limit m_warmupLimit;
+    start_rate_limit m_requestLimit;
     bool m_isDispatching = false;
 };
 
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -217,6 +217,8 @@
     }
     if (connection->isReusable())
         poolConnection(connection, now);
+    if (!info.isOtherServerStart)
+        applyRequestLimit(info.requestLimit, now);
     if (info.isOtherServerStart) {
         m_identity.forget();
         m_queue.release(std::nullopt, now);
@@ -239,6 +241,18 @@
     finish(request, std::move(reply));
 }
 
+void backend_gateway::applyRequestLimit(std::optional<double> perSecond, instant now)
+{
+    if (m_requestLimit == perSecond)
+        return;
+    m_requestLimit = perSecond;
+    m_queue.setRequestLimit(perSecond, now);
+    m_log.write(event_priority::failure, "backend_limit", {},
+        { { "backend", m_identity.isKnown() ? m_identity.current().id.text() : "" },
+            { "per_1000_s", static_cast<std::uint64_t>(perSecond.value_or(0) * 1000) },
+            { "limited", perSecond.has_value() } });
+}
+
 void backend_gateway::handleFailure(gateway_request& request, http_call_failure failure, instant now)
 {
     if (failure == http_call_failure::notConnected) {
@@ -366,6 +380,7 @@
     if (effect == heartbeat_effect::newStart) {
         reportCrash(now);
         m_healthCheck.reset();
+        applyRequestLimit(std::nullopt, now);
         while (!m_idleConnections.empty()) {
             m_idleConnections.front().connection->cancel();
             m_idleConnections.pop_front();
@@ -422,8 +437,9 @@
 
 backend_report backend_gateway::report() const
 {
-    return { m_queue.inUse(), static_cast<std::uint32_t>(m_queue.waitingCount()), m_queue.slots(),
-        m_queue.meanLatency(), m_healthCheck.failureRatio(), m_identity.isCold(m_hooks.clock().monotonic),
+    auto now = m_hooks.clock().monotonic;
+    return { m_queue.inUse(), static_cast<std::uint32_t>(m_queue.waitingCount()), m_queue.usableSlots(now),
+        m_queue.meanLatency(), m_healthCheck.failureRatio(), m_identity.isCold(now),
         m_healthCheck.isSuspect() };
 }
 
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -139,6 +139,7 @@
     void handleResponse(gateway_request& request, http_message&& response, instant now);
     void handleFailure(gateway_request& request, http_call_failure failure, instant now);
     void recordOutcome(gateway_request& request, backend_outcome outcome, instant now);
+    void applyRequestLimit(std::optional<double> perSecond, instant now);
     void reportCrash(instant now);
     handle<http_client_connection> acquireConnection(instant now);
     void poolConnection(const handle<http_client_connection>& connection, instant now);
@@ -164,6 +165,7 @@
     std::vector<interrupted_request> m_interruptedRequests;
     std::atomic<std::size_t> m_activeCount { 0 };
     std::atomic<double> m_retryShare { 0 };
+    std::optional<double> m_requestLimit; ///< As last named by the backend server, in requests per second.
     bool m_isDraining = false;
 };
 
--- a/packages/proxy/src/header_codec.h
+++ b/packages/proxy/src/header_codec.h
@@ -25,6 +25,8 @@
     bool hasSignature = false; ///< The response proves that the backend server made it.
     bool hasEncodedBody = false; ///< The body has a content encoding, which was not requested.
     std::optional<request_id> requestId; ///< The id of the request that the response names.
+    /** Requests per second that the server takes from all nodes together, if it names a limit. */
+    std::optional<double> requestLimit;
 };
 
 /** Parameters that are sent to a backend server with a request. */
--- a/test/proxy/admission_queue.cpp
+++ b/test/proxy/admission_queue.cpp
@@ -155,6 +155,50 @@
     }));
 }
 
+TEST_CASE(
+    "A backend server that names a limit is sent no more in any four seconds than it bears, nor much less")
+{
+    CHECK(rc::check("starts in any four seconds", [](std::vector<std::uint16_t> gaps) {
+        constexpr double perSecond = 2.5;
+        constexpr double tolerated = perSecond * 4 * 1.5 + 5; // The users' bound.
+        observed_queue fixture;
+        fixture.queue.setSlots(100, start);
+        fixture.queue.setRequestLimit(perSecond, start);
+        std::deque<instant> window;
+        auto now = start;
+        for (auto gap : gaps) {
+            now += std::chrono::milliseconds(gap % 400);
+            auto before = fixture.started.size();
+            (void)fixture.queue.admit(fixture.make("limited", 1, 3600s, 7200s), now);
+            fixture.queue.dispatch(now);
+            for (auto i = before; i < fixture.started.size(); ++i)
+                window.push_back(now);
+            while (!window.empty() && now - window.front() > 4s)
+                window.pop_front();
+            RC_ASSERT(static_cast<double>(window.size()) <= tolerated);
+        }
+        auto perMean = std::chrono::duration<double>(now - start).count() * perSecond;
+        auto wanted = std::min<double>(static_cast<double>(gaps.size()), perMean);
+        RC_ASSERT(static_cast<double>(fixture.started.size()) >= wanted * 0.5 - 2);
+    }));
+}
+
+TEST_CASE("A request that a limit would delay too long is refused at once with the wait")
+{
+    observed_queue fixture;
+    fixture.queue.setSlots(8, start);
+    fixture.queue.setRequestLimit(0.5, start);
+    while (fixture.queue.admit(fixture.make("early", 1, 100ms), start)) { }
+    auto refused = fixture.queue.admit(fixture.make("late", 1, 100ms), start);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().reason == refusal_reason::backendServerBusy);
+    CHECK(refused.error().retryAfter > 500ms);
+    CHECK(fixture.queue.usableSlots(start) == 1);
+    fixture.queue.setRequestLimit(std::nullopt, start);
+    CHECK(fixture.queue.usableSlots(start) == 8);
+    CHECK(fixture.queue.admit(fixture.make("free", 1, 100ms), start));
+}
+
 // Load: twice what four slots of 100 ms bear, for ten seconds; half of it urgent.
 TEST_CASE("Under twice the capacity urgent requests are served, the rest is refused early, and no slot idles")
 {
