Stop sending to a backend server that says in an answer that it leaves

A backend server that leaves says so in all its answers (Server-Leaving), and callers' requests reached it all the same until its next heartbeat said that it drains, or for good if none came. No code read the field.

The node beside the server reads it, marks the start to which the request was sent as leaving, which is final for a start, and refuses waiting and new requests, so that they go elsewhere.

--- a/packages/decisions/src/backend_identity.cpp
+++ b/packages/decisions/src/backend_identity.cpp
@@ -53,6 +53,14 @@
     return true;
 }
 
+bool backend_identity::recordLeaving(const backend_server_id& id, wall_time startedAt)
+{
+    if (!m_current || m_current->id != id || m_current->startedAt != startedAt || isLeaving())
+        return false;
+    m_current->isDraining = true;
+    return true;
+}
+
 void backend_identity::forget()
 {
     m_current.reset();
--- a/packages/decisions/src/backend_identity.h
+++ b/packages/decisions/src/backend_identity.h
@@ -39,6 +39,10 @@
      * start. \return whether the announcement concerns the current backend server. */
     bool deregister(const backend_server_id& id, wall_time startedAt, wall_time now);
 
+    /** Notes that the start of \p id at \p startedAt says that it is leaving, which is final for a start.
+     * \return whether it is the current one and was not leaving yet. */
+    bool recordLeaving(const backend_server_id& id, wall_time startedAt);
+
     /** Discards the known backend server, as when an answer or a probe comes from another id. Nothing is
      * known until the next heartbeat. */
     void forget();
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -181,7 +181,9 @@
         return;
     }
     request->m_startedAt = now;
-    auto message = m_codec.makeBackendRequest(request->request, { m_identity.current().id, remaining });
+    request->m_backend = m_identity.current().id;
+    request->m_backendStartedAt = m_identity.current().startedAt;
+    auto message = m_codec.makeBackendRequest(request->request, { request->m_backend, remaining });
     request->m_connection = acquireConnection(now);
     request->m_connection->call(m_backend, message, m_policy.connectTimeout, remaining,
         [this, request](http_call_result result) { handleResult(*request, std::move(result)); });
@@ -217,8 +219,11 @@
     }
     if (connection->isReusable())
         poolConnection(connection, now);
-    if (!info.isOtherServerStart)
+    if (!info.isOtherServerStart) {
         applyRequestLimit(info.requestLimit, now);
+        if (info.isLeaving && m_identity.recordLeaving(request.m_backend, request.m_backendStartedAt))
+            handleLeaving(now);
+    }
     if (info.isOtherServerStart) {
         m_identity.forget();
         m_queue.release(std::nullopt, now);
@@ -391,13 +396,18 @@
     }
     applyWarmupLimit(now);
     m_queue.setSlots(heartbeat.slots, now);
-    if (m_identity.isLeaving() && !wasDraining) {
-        m_log.write(event_priority::always, "backend_draining", {}, { { "backend", heartbeat.id.text() } });
-        m_queue.refuseAll(refusal(refusal_reason::backendServerDraining, "the backend server leaves"), now);
-    }
+    if (m_identity.isLeaving() && !wasDraining)
+        handleLeaving(now);
     return effect;
 }
 
+void backend_gateway::handleLeaving(instant now)
+{
+    m_log.write(
+        event_priority::always, "backend_draining", {}, { { "backend", m_identity.current().id.text() } });
+    m_queue.refuseAll(refusal(refusal_reason::backendServerDraining, "the backend server leaves"), now);
+}
+
 bool backend_gateway::handleDeregistration(const backend_server_id& id, wall_time startedAt)
 {
     auto present = m_hooks.clock();
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -43,6 +43,8 @@
     bool m_isStuck = false;
     instant m_startedAt {};
     instant m_deadline {}; ///< The sender does not wait beyond it.
+    backend_server_id m_backend; ///< The server to which it was sent, and the start of that server.
+    wall_time m_backendStartedAt {};
     handle<http_client_connection> m_connection;
 };
 
@@ -140,6 +142,7 @@
     void handleFailure(gateway_request& request, http_call_failure failure, instant now);
     void recordOutcome(gateway_request& request, backend_outcome outcome, instant now);
     void applyRequestLimit(std::optional<double> perSecond, instant now);
+    void handleLeaving(instant now);
     void reportCrash(instant now);
     handle<http_client_connection> acquireConnection(instant now);
     void poolConnection(const handle<http_client_connection>& connection, instant now);
--- a/packages/proxy/src/header_codec.h
+++ b/packages/proxy/src/header_codec.h
@@ -22,6 +22,7 @@
     bool wasNotRun = false; ///< The server states that it did not run the request.
     /** The address belongs to another start of a server than the expected one. */
     bool isOtherServerStart = false;
+    bool isLeaving = false; ///< The server says that it is going to stop.
     bool hasSignature = false; ///< The response proves that the backend server made it.
     bool hasEncodedBody = false; ///< The body has a content encoding, which was not requested.
     std::optional<request_id> requestId; ///< The id of the request that the response names.
