Skip odd entries of other writers, and count the good ones

An operator of a system like ours saw machines end again and again, or stop following, for one odd entry in a list.

Depth is checked before the recursive parser runs, numbers must be whole, unsigned and within their range, addresses must be valid, and an odd announcement is left out, counted and logged while the others are merged. JSON text is parsed without recursion and needed no change; a test with 200,000 levels shows it.

--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -354,6 +354,10 @@
     if (update.isFollowingLog)
         m_readerDuty.recordContact(m_hooks.clock().monotonic);
     mergeAnnouncements(update.announcements);
+    if (update.unreadableAnnouncements > 0)
+        m_log.write(event_priority::failure, "announcement_unreadable", {},
+            { { "peer", update.from.text() },
+                { "count", static_cast<std::uint64_t>(update.unreadableAnnouncements) } });
     if (!update.quarantined.empty())
         m_quarantine.addNotices(update.quarantined, m_hooks.clock().monotonic);
 }
--- a/packages/proxy/src/gossip.cpp
+++ b/packages/proxy/src/gossip.cpp
@@ -1,6 +1,7 @@
 #include "gossip.h"
 
 #include "compression.h"
+#include "peer_forwarder.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,6 +12,49 @@
     using nlohmann::json;
 
     constexpr std::size_t maxTransferBytes = 64 << 20;
+    constexpr std::size_t maxDepth = 16; ///< Of nested arrays and objects; messages use fewer.
+
+    /** Thrown on an invalid message or announcement. Caught within this file. */
+    struct invalid_message : std::runtime_error {
+        using std::runtime_error::runtime_error;
+    };
+
+    /** Stops the library's parser, which recurses, at values that are nested too deeply. */
+    struct depth_check : nlohmann::json_sax<json> {
+        bool null() override { return true; }
+        bool boolean(bool) override { return true; }
+        bool number_integer(number_integer_t) override { return true; }
+        bool number_unsigned(number_unsigned_t) override { return true; }
+        bool number_float(number_float_t, const string_t&) override { return true; }
+        bool string(string_t&) override { return true; }
+        bool binary(binary_t&) override { return true; }
+        bool key(string_t&) override { return true; }
+        bool start_object(std::size_t) override { return ++depth <= maxDepth; }
+        bool start_array(std::size_t) override { return ++depth <= maxDepth; }
+        bool end_object() override { return depth-- > 0; }
+        bool end_array() override { return depth-- > 0; }
+        bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override
+        {
+            return false;
+        }
+
+        std::size_t depth = 0;
+    };
+
+    json parseMessagePack(std::string_view bytes)
+    {
+        depth_check check;
+        if (!json::sax_parse(bytes, &check, json::input_format_t::msgpack))
+            throw invalid_message("the bytes are not MessagePack, or nested too deeply");
+        return json::from_msgpack(bytes);
+    }
+
+    std::uint64_t parseUnsigned(const json& value)
+    {
+        if (!value.is_number_unsigned())
+            throw invalid_message("a number is negative, not whole or too large");
+        return value.get<std::uint64_t>();
+    }
 
     json toJson(const instance_announcement& each)
     {
@@ -23,9 +67,12 @@
     {
         instance_announcement result;
         result.node = node_id(value.at("node").get<std::string>());
-        result.life = value.at("life").get<std::uint64_t>();
-        result.revision = value.at("revision").get<std::uint64_t>();
+        result.life = parseUnsigned(value.at("life"));
+        result.revision = parseUnsigned(value.at("revision"));
         result.endpoint = value.at("endpoint").get<std::string>();
+        auto address = endpointFromText(result.endpoint);
+        if (result.node.empty() || !address || address->port() == 0)
+            throw invalid_message("an announcement has no node or no valid endpoint");
         result.dataCentre = data_centre_id(value.at("data_centre").get<std::string>());
         result.service = service_id(value.at("service").get<std::string>());
         result.hasLeft = value.at("left").get<bool>();
@@ -45,8 +92,8 @@
         document_delta delta { value.at("base").get<document_fingerprint>(),
             value.at("target").get<document_fingerprint>(), {} };
         for (const auto& part : value.at("parts")) {
-            delta.parts.push_back({ part.at(0).get<std::uint64_t>(), part.at(1).get<std::uint64_t>(),
-                part.at(2).get<std::string>() });
+            delta.parts.push_back(
+                { parseUnsigned(part.at(0)), parseUnsigned(part.at(1)), part.at(2).get<std::string>() });
         }
         return delta;
     }
@@ -66,7 +113,7 @@
     operator_transfer parseOperatorTransfer(const json& value)
     {
         operator_transfer transfer;
-        transfer.position = value.at("position").get<std::uint64_t>();
+        transfer.position = parseUnsigned(value.at("position"));
         for (const auto& each : value.at("evacuated"))
             transfer.evacuated.insert(data_centre_id(each.get<std::string>()));
         if (value.contains("document"))
@@ -80,10 +127,15 @@
     {
         gossip_update update;
         update.from = node_id(body.at("from").get<std::string>());
-        update.position = body.at("position").get<std::uint64_t>();
-        update.fingerprint = body.at("fingerprint").get<std::uint64_t>();
-        for (const auto& each : body.at("announcements"))
-            update.announcements.push_back(parseAnnouncement(each));
+        update.position = parseUnsigned(body.at("position"));
+        update.fingerprint = parseUnsigned(body.at("fingerprint"));
+        for (const auto& each : body.at("announcements")) {
+            try {
+                update.announcements.push_back(parseAnnouncement(each));
+            } catch (const std::exception&) {
+                ++update.unreadableAnnouncements; // Logged by the caller.
+            }
+        }
         if (body.contains("operators")) {
             const auto& bytes = body.at("operators").get_binary();
             update.operators.emplace(bytes.begin(), bytes.end());
@@ -112,7 +164,7 @@
 {
     try {
         return parseAnnouncement(json::parse(text));
-    } catch (const json::exception&) {
+    } catch (const std::exception&) {
         return std::nullopt; // Not written by a node of this fleet; the caller logs it.
     }
 }
@@ -130,8 +182,8 @@
     if (!whole)
         return std::nullopt;
     try {
-        return parseOperatorTransfer(json::from_msgpack(*whole));
-    } catch (const json::exception&) {
+        return parseOperatorTransfer(parseMessagePack(*whole));
+    } catch (const std::exception&) {
         return std::nullopt; // The caller logs the invalid message.
     }
 }
@@ -162,8 +214,8 @@
 std::optional<gossip_update> decodeGossip(const peer_message& message)
 {
     try {
-        return parseGossip(json::from_msgpack(message.payload));
-    } catch (const json::exception&) {
+        return parseGossip(parseMessagePack(message.payload));
+    } catch (const std::exception&) {
         return std::nullopt; // The caller logs the invalid message.
     }
 }
--- a/packages/proxy/src/gossip.h
+++ b/packages/proxy/src/gossip.h
@@ -26,6 +26,7 @@
     std::uint64_t fingerprint
         = 0; ///< Of the sender's announcement table; equal tables have equal fingerprints.
     std::vector<instance_announcement> announcements; ///< The sender's own, or those that may differ.
+    std::size_t unreadableAnnouncements = 0; ///< In a received message; they are left out.
     /** Of the sender's table: in a response if the fingerprints differ, and in the request that follows it,
      * to which both sides add the announcements of the parts that differ. */
     std::optional<announcement_table::part_fingerprints> partFingerprints;
--- a/test/proxy/platform_formats.cpp
+++ b/test/proxy/platform_formats.cpp
@@ -8,6 +8,8 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 using namespace pomelohub;
 using namespace std::chrono_literals;
 using nlohmann::json;
@@ -224,6 +226,36 @@
     CHECK_FALSE(call("/-/rpc?call=instances.heartbeat&of=%zz", heartbeat().dump()));
 }
 
+TEST_CASE("A heartbeat with a number or an address out of range, or nested very deeply, is refused")
+{
+    auto refuses = [](const char* field, const json& value) {
+        auto spoiled = heartbeat();
+        spoiled[field] = value;
+        CHECK_FALSE(call(heartbeatTarget, spoiled.dump()));
+    };
+    refuses("seq", -1);
+    refuses("seq", 1e30);
+    refuses("seq", 4.5);
+    refuses("slots", 4294967297);
+    refuses("slots", 1e30);
+    refuses("born", -1);
+    refuses("born", 1e30);
+    refuses("born", std::numeric_limits<std::int64_t>::max());
+    refuses("warmup_left_s", 1e300);
+    refuses("address", "10.0.0.9:65536");
+    refuses("address", "10.0.0.9:0");
+    refuses("address", "10.0.0.9");
+    auto text = heartbeat().dump();
+    auto huge = text;
+    huge.replace(huge.find("\"seq\":4"), 7, "\"seq\":1" + std::string(400, '0'));
+    CHECK_FALSE(call(heartbeatTarget, huge));
+    constexpr std::size_t depth = 200'000;
+    CHECK_FALSE(call(heartbeatTarget, std::string(depth, '[')));
+    CHECK_FALSE(call(heartbeatTarget, std::string(depth, '[') + std::string(depth, ']')));
+    CHECK(call(heartbeatTarget,
+        text.insert(1, "\"more\":" + std::string(depth, '[') + std::string(depth, ']') + ",")));
+}
+
 TEST_CASE("What a caller says of itself is taken out, and what only the fleet may say is dropped")
 {
     auto words = makePlatformHeaderCodec();
