Trust a refusal of a backend server only if it names the request

A faulty backend server may write an earlier refusal once more on a kept connection.

A refusal with the id of another request was not believed before; one without an id was. Backend servers echo the id in every response, so a refusal without it proves nothing now, and the request counts as one that may have run. The new test failed for a 503 and a 421 without an id.

Two tests and the stand-in wrote refusals without an id, which no server of the platform does; they have one now and check the same.

Bytes without end, in a head, a field or a body, end with the request's time or the limit on a response, and the connection with them: a new test shows it, and needed no change of the code.

--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -206,7 +206,9 @@
     auto info = m_codec.readBackendResponse(response);
     bool isForOtherRequest = info.requestId && *info.requestId != request.request.id;
     bool isUnsigned = response.status < firstError && !info.hasSignature;
-    if (isForOtherRequest || isUnsigned || info.hasEncodedBody) {
+    // Without an id, a refusal may be an earlier one that was sent again.
+    bool isUnprovenRefusal = (info.wasNotRun || info.isOtherServerStart) && !info.requestId;
+    if (isForOtherRequest || isUnsigned || isUnprovenRefusal || info.hasEncodedBody) {
         connection->cancel();
         recordOutcome(request, backend_outcome::broken, now);
         m_queue.release(std::nullopt, now);
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -112,6 +112,12 @@
         return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
     }
 
+    static std::string refusal(const std::string& id)
+    {
+        auto idField = id.empty() ? "" : "Request-Id: " + id + "\r\n";
+        return "HTTP/1.1 503 Busy\r\n" + idField + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
     void beat(const char* id = "i-1", bool isDraining = false, std::chrono::milliseconds startedAt = 1000ms)
     {
         backend_heartbeat heartbeat;
@@ -228,14 +234,77 @@
 
 TEST_CASE("A rejection of the backend server proves that the request did not run")
 {
-    auto shed = gateway_fixture("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n").submit();
+    auto shed = gateway_fixture(gateway_fixture::refusal("r1")).submit();
     checkNotRun(shed, refusal_reason::backendServerShed);
     CHECK(shed.hasReachedBackend);
 }
 
+TEST_CASE("An earlier refusal that comes once more on a kept connection proves nothing of the next request")
+{
+    std::string again;
+    SUBCASE("with the id of the earlier request") { again = gateway_fixture::refusal("r0"); }
+    SUBCASE("without an id") { again = gateway_fixture::refusal(""); }
+    SUBCASE("of another server, without an id")
+    {
+        again = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+    }
+    gateway_fixture fixture(gateway_fixture::refusal("r0"));
+    auto earlier = fixture.make();
+    earlier->request.id = request_id("r0");
+    earlier->request.message.setField("Request-Id", "r0");
+    checkNotRun(fixture.submit(earlier), refusal_reason::backendServerShed);
+    fixture.backend.reply = again;
+    checkMayHaveRun(fixture.submit());
+    CHECK(fixture.backend.connections == 1);
+}
+
+TEST_CASE("Bytes without end, in a head or in a body, end the request in its time and the connection with it")
+{
+    std::string piece;
+    gateway_fixture fixture;
+    SUBCASE("a head")
+    {
+        fixture.backend.reply = "HTTP/1.1 200 OK\r\n";
+        piece = "X-More: " + std::string(4000, 'x') + "\r\n";
+    }
+    SUBCASE("one field") { piece = std::string(4000, 'x'); }
+    SUBCASE("a body without a length")
+    {
+        fixture.backend.reply = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n\r\n";
+        piece = std::string(4000, 'x');
+    }
+    SUBCASE("a body in chunks")
+    {
+        fixture.backend.reply
+            = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+        piece = "fa0\r\n" + std::string(4000, 'x') + "\r\n";
+    }
+    if (fixture.backend.reply == gateway_fixture::good("r1"))
+        fixture.backend.reply = "HTTP/1.1 200 OK\r\nX: ";
+    auto request = fixture.make(retry_rule::idempotent);
+    request->request.timeLeft = 1s;
+    std::optional<forward_reply> reply;
+    request->onReply = [&](forward_reply what) { reply = std::move(what); };
+    auto startedAt = std::chrono::steady_clock::now();
+    fixture.gateway.submit(request);
+    CHECK(runUntil(fixture.context, [&] {
+        for (const auto& each : fixture.backend.open) {
+            std::error_code ignored;
+            each->socket.non_blocking(true, ignored);
+            if (!fixture.backend.requests.empty())
+                asio::write(each->socket, asio::buffer(piece), ignored);
+        }
+        return reply.has_value() && fixture.backend.ended > 0;
+    }));
+    CHECK(std::chrono::steady_clock::now() - startedAt < 2s);
+    REQUIRE(reply);
+    checkMayHaveRun(*reply);
+}
+
 TEST_CASE("Another server at the address ends the use of it until it announces itself")
 {
-    gateway_fixture fixture("HTTP/1.1 421 Misdirected\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n");
+    gateway_fixture fixture(
+        "HTTP/1.1 421 Misdirected\r\nInstance-Id: i-2\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n");
     checkNotRun(fixture.submit(), refusal_reason::noBackendServer);
     fixture.backend.reply = gateway_fixture::good("r1");
     checkNotRun(fixture.submit(), refusal_reason::noBackendServer);
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -186,6 +186,7 @@
     if (text("Expect-Instance") != m_id) {
         auto answer = makeResponse(421, "");
         answer.fields.push_back({ "Instance-Id", m_id });
+        answer.fields.push_back({ "Request-Id", text("Request-Id") });
         responder->respond(std::move(answer));
         return;
     }
