--- a/packages/decisions/src/log_readers.cpp
+++ b/packages/decisions/src/log_readers.cpp
@@ -18,12 +18,14 @@
         auto operator<=>(const candidate&) const = default;
     };
     std::vector<candidate> candidates;
+    candidates.reserve(active.size());
     for (const auto& each : active) {
         if (each.dataCentre == dataCentre)
             candidates.push_back({ rendezvousWeight(each.node.text(), duty), each.node });
     }
     std::sort(candidates.begin(), candidates.end(), std::greater<> {});
     std::vector<node_id> order;
+    order.reserve(candidates.size());
     for (auto& each : candidates)
         order.push_back(std::move(each.node));
     return order;
--- a/packages/proxy/src/json_slice.cpp
+++ b/packages/proxy/src/json_slice.cpp
@@ -44,12 +44,12 @@
 
     std::size_t endOfString(std::string_view text, std::size_t at)
     {
-        for (++at;; ++at) {
-            at = findAny(text, at, stringEnds);
-            if (charAt(text, at) == '"')
-                return at + 1;
-            ++at; // The character after a backslash.
+        at = findAny(text, at + 1, stringEnds);
+        while (charAt(text, at) == '\\') {
+            constexpr std::size_t escapedLength = 2; // Also for \u, whose digits end no string.
+            at = findAny(text, at + escapedLength, stringEnds);
         }
+        return at + 1;
     }
 
     /** The position behind the value that starts at \p at. */
