--- a/packages/decisions/src/log_readers.h
+++ b/packages/decisions/src/log_reader_duty.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines logReadersOf(), the choice of the nodes that follow the operators' log for the nodes of their data
- * centre. The others learn of changes from them, so that the cost of reading a change does not grow with the
+ * Defines log_reader_duty, which decides what nodes follow the operators' log for the other nodes of their
+ * data centre. These learn of changes from them, so that the cost of reading a change does not grow with the
  * number of nodes.
  */
 #pragma once
@@ -11,15 +11,6 @@
 
 namespace pomelohub {
 
-/** The nodes of \p dataCentre in the order in which they take the duty to read the log. Every node computes
- * the same order from the same announcements. Thread safety: any thread. */
-std::vector<node_id> logReaderOrder(
-    std::span<const instance_announcement> active, const data_centre_id& dataCentre);
-
-/** Number of nodes that read the log in each data centre, so that about \p fleetReaders do in the whole
- * fleet; at least 1. Thread safety: any thread. */
-std::size_t logReadersPerDataCentre(std::span<const instance_announcement> active, std::size_t fleetReaders);
-
 struct log_reader_policy {
     std::size_t fleetReaders = 8; ///< Expected number of readers in the fleet.
     /** A node reads the log itself after this long without contact to a reader. */
@@ -29,7 +20,8 @@
     duration takeoverDelay = std::chrono::milliseconds(150);
 };
 
-/** Decides when a node has to read the log itself. Thread safety: one thread at a time. */
+/** Decides when a node has to read the log itself. The nodes of a data centre take the duty in an order that
+ * each of them computes alike from the same announcements. Thread safety: one thread at a time. */
 class log_reader_duty {
 public:
     /** \param now counts as a contact, so that a node that starts first looks for a reader. */
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -8,7 +8,7 @@
 #include "event_log.h"
 #include "fleet_store.h"
 #include "gossip.h"
-#include "log_readers.h"
+#include "log_reader_duty.h"
 #include "peer_choice.h"
 #include "proxy_metrics.h"
 
