--- a/packages/decisions/src/start_rate_limit.h
+++ b/packages/decisions/src/start_rate_limit.h
@@ -31,7 +31,7 @@
     /** Time until \p count requests may have started, or until the limit ends; zero when there is none. */
     duration waitFor(double count, instant now) const;
 
-    /** The rate in force; nothing when there is none. */
+    /** The rate in force; 0 when there is none. */
     double perSecond(instant now) const { return isActive(now) ? m_perSecond : 0; }
 
 private:
