Keep the fingerprints of the announcement table with the table

Each gossip message hashed every announcement of the fleet anew, twice since the table has parts, and some messages did so two or three times. A merge now updates the fingerprint of the one part that it changes. Fingerprints and messages are the same; the 147 cases of test_proxy pass.

--- a/packages/decisions/src/instance_announcement.cpp
+++ b/packages/decisions/src/instance_announcement.cpp
@@ -48,14 +48,28 @@
         accepted.hasLeft = true;
     if (!accepted.hasLeft) {
         for (auto& [node, other] : m_entries) {
-            if (node != update.node && other.endpoint == update.endpoint)
-                other.hasLeft = true;
+            if (node == update.node || other.endpoint != update.endpoint || other.hasLeft)
+                continue;
+            auto left = other;
+            left.hasLeft = true;
+            store(left);
         }
     }
-    m_entries[update.node] = accepted;
+    store(accepted);
     return true;
 }
 
+void announcement_table::store(const instance_announcement& entry)
+{
+    auto& part = m_partFingerprints[partOf(entry.node)];
+    auto [place, isNew] = m_entries.try_emplace(entry.node, entry);
+    if (!isNew) {
+        part -= fingerprintOf(place->second);
+        place->second = entry;
+    }
+    part += fingerprintOf(entry);
+}
+
 const instance_announcement* announcement_table::find(const node_id& node) const
 {
     auto found = m_entries.find(node);
@@ -74,24 +88,14 @@
 
 std::uint64_t announcement_table::fingerprint() const
 {
-    auto parts = partFingerprints();
-    return std::accumulate(parts.begin(), parts.end(), std::uint64_t { 0 });
-}
-
-announcement_table::part_fingerprints announcement_table::partFingerprints() const
-{
-    part_fingerprints parts {};
-    for (const auto& [node, entry] : m_entries)
-        parts[partOf(node)] += fingerprintOf(entry);
-    return parts;
+    return std::accumulate(m_partFingerprints.begin(), m_partFingerprints.end(), std::uint64_t { 0 });
 }
 
 std::vector<instance_announcement> announcement_table::entriesThatDiffer(const part_fingerprints& other) const
 {
-    auto own = partFingerprints();
     std::vector<instance_announcement> result;
     for (const auto& [node, entry] : m_entries) {
-        if (own[partOf(node)] != other[partOf(node)])
+        if (m_partFingerprints[partOf(node)] != other[partOf(node)])
             result.push_back(entry);
     }
     return result;
--- a/packages/decisions/src/instance_announcement.h
+++ b/packages/decisions/src/instance_announcement.h
@@ -46,15 +46,17 @@
     /** Fingerprints of the parts of the table, into which a hash divides the nodes. Their comparison tells
      * which parts of two tables differ. */
     using part_fingerprints = std::array<std::uint64_t, 64>;
-    part_fingerprints partFingerprints() const;
+    const part_fingerprints& partFingerprints() const { return m_partFingerprints; }
 
     /** The announcements in the parts whose fingerprint differs from that in \p other. */
     std::vector<instance_announcement> entriesThatDiffer(const part_fingerprints& other) const;
 
 private:
     bool isEndpointOwnedByNewer(const instance_announcement& update) const;
+    void store(const instance_announcement& entry);
 
     std::map<node_id, instance_announcement> m_entries;
+    part_fingerprints m_partFingerprints {};
 };
 
 } // namespace pomelohub
