Do not copy the present document to replace it

Each transfer from a peer copied the document in force, 17 MB at the target, and then assigned the new one over it, or copied that again. The document of a transfer is made once now. The 147 cases of test_proxy pass.

--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -320,32 +320,33 @@
     return m_lastTransfer.bytes;
 }
 
+std::optional<std::string> control_loop::transferredDocument(operator_transfer& transfer) const
+{
+    const auto& present = m_controller.operators().document;
+    if (transfer.document)
+        return std::move(transfer.document);
+    return transfer.delta ? applyDocumentDelta(present, *transfer.delta) : present;
+}
+
 void control_loop::applyTransfer(std::string_view bytes, const std::string& source, instant startedAt)
 {
-    auto decoded = decodeOperatorTransfer(bytes);
-    if (!decoded) {
+    auto transfer = decodeOperatorTransfer(bytes);
+    if (!transfer) {
         m_log.write(event_priority::failure, "gossip_unreadable", {}, { { "peer", source } });
         return;
     }
-    const auto& transfer = *decoded;
-    recordTransfer(transfer.document ? "peer" : "peer_delta", bytes.size(), startedAt);
-    if (transfer.position <= m_controller.operators().position)
+    recordTransfer(transfer->document ? "peer" : "peer_delta", bytes.size(), startedAt);
+    if (transfer->position <= m_controller.operators().position)
         return;
-    operator_state state { transfer.position, m_controller.operators().document, transfer.evacuated };
-    if (transfer.document)
-        state.document = *transfer.document;
-    if (transfer.delta) {
-        auto document = applyDocumentDelta(state.document, *transfer.delta);
-        if (!document) {
-            m_log.write(event_priority::failure, "configuration_delta_unusable", {}, { { "peer", source } });
-            return; // The document has changed since the request.
-        }
-        state.document = std::move(*document);
+    auto document = transferredDocument(*transfer);
+    if (!document) {
+        m_log.write(event_priority::failure, "configuration_delta_unusable", {}, { { "peer", source } });
+        return; // The document has changed since the request.
     }
-    if (!m_controller.applyState(state))
+    if (!m_controller.applyState({ transfer->position, std::move(*document), transfer->evacuated }))
         return;
     m_log.write(event_priority::always, "configuration_from_peer", {},
-        { { "peer", source }, { "position", transfer.position }, { "version", m_controller.version() } });
+        { { "peer", source }, { "position", transfer->position }, { "version", m_controller.version() } });
     spreadOperatorState();
 }
 
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -90,6 +90,7 @@
     void applyTransfer(std::string_view bytes, const std::string& source, instant startedAt);
     gossip_update makeGossip(const gossip_update* request);
     const std::string& encodedTransfer(document_fingerprint base);
+    std::optional<std::string> transferredDocument(operator_transfer& transfer) const;
     std::vector<std::string> selectGossipPeers();
     std::vector<std::string> selectEndpoints(std::vector<std::string> candidates, std::size_t count);
     void mergeAnnouncements(const std::vector<instance_announcement>& updates);
