Let the polls of the start end before a test of spreading counts reads

The case failed under the thread sanitizer: 16 to 20 documents read of 15. Trace: at the change, as many nodes had a poll open; 9 of them were readers of the log. The others had heard of no reader for 1.2 s during the start, when no node has read its first document yet and one thread plays 60 nodes, and their polls end after up to 3 s.

The case waits for these polls to end; its checks and bounds stay.

--- a/test/proxy/configuration_spread.cpp
+++ b/test/proxy/configuration_spread.cpp
@@ -226,6 +226,8 @@
     constexpr std::size_t maxReaders = 15;
     fleet_fixture fleet(nodes);
     fleet.startAll();
+    // Nodes that heard of no reader during the start poll until the end of their wait.
+    fleet.runFor(control_policy {}.maxPollTimeout);
     fleet.resetCounts();
     auto startedAt = std::chrono::steady_clock::now();
     fleet.log.append(documentOf(2));
