Play the two rate limits of the admission queue with one loop

The property tests of the cold rate and of the limit that a server names had the same loop with other figures.

--- a/test/proxy/admission_queue.cpp
+++ b/test/proxy/admission_queue.cpp
@@ -41,6 +41,26 @@
     }
 };
 
+/** Submits a request after each of \p gaps, taken modulo \p maxGap, and checks that no \p window has more
+ * starts than \p tolerated. \return the time of the last request. */
+instant playWishes(observed_queue& fixture, const std::vector<std::uint16_t>& gaps,
+    std::chrono::milliseconds maxGap, duration window, double tolerated)
+{
+    std::deque<instant> starts;
+    auto now = start;
+    for (auto gap : gaps) {
+        now += std::chrono::milliseconds(gap % maxGap.count());
+        auto before = fixture.started.size();
+        (void)fixture.queue.admit(fixture.make("wish", 1, 3600s, 7200s), now);
+        fixture.queue.dispatch(now);
+        starts.insert(starts.end(), fixture.started.size() - before, now);
+        while (!starts.empty() && now - starts.front() > window)
+            starts.pop_front();
+        RC_ASSERT(static_cast<double>(starts.size()) <= tolerated);
+    }
+    return now;
+}
+
 } // namespace
 
 TEST_CASE("Requests start while slots are free, and wait by rank after that")
@@ -132,52 +152,27 @@
 
 TEST_CASE("A cold backend server gets no more in any second than it bears")
 {
-    CHECK(rc::check("starts in any second", [](std::vector<std::uint16_t> gaps) {
+    CHECK(rc::check("starts in any second", [](const std::vector<std::uint16_t>& gaps) {
         constexpr double perSecond = 12;
         constexpr double tolerated = perSecond * 1.5 + 5; // The users' bound.
         observed_queue fixture;
         fixture.queue.setSlots(100, start);
         fixture.queue.setWarmupLimit(perSecond, start + 3600s);
-        std::deque<instant> lastSecond;
-        auto now = start;
-        for (auto gap : gaps) {
-            now += std::chrono::milliseconds(gap % 50);
-            auto before = fixture.started.size();
-            auto wish = fixture.make("cold", 1, 3600s, 7200s);
-            (void)fixture.queue.admit(wish, now);
-            fixture.queue.dispatch(now);
-            for (auto i = before; i < fixture.started.size(); ++i)
-                lastSecond.push_back(now);
-            while (!lastSecond.empty() && now - lastSecond.front() > 1s)
-                lastSecond.pop_front();
-            RC_ASSERT(static_cast<double>(lastSecond.size()) <= tolerated);
-        }
+        playWishes(fixture, gaps, 50ms, 1s, tolerated);
     }));
 }
 
 TEST_CASE(
     "A backend server that names a limit is sent no more in any four seconds than it bears, nor much less")
 {
-    CHECK(rc::check("starts in any four seconds", [](std::vector<std::uint16_t> gaps) {
+    CHECK(rc::check("starts in any four seconds", [](const std::vector<std::uint16_t>& gaps) {
         constexpr double perSecond = 2.5;
         constexpr double tolerated = perSecond * 4 * 1.5 + 5; // The users' bound.
         observed_queue fixture;
         fixture.queue.setSlots(100, start);
         fixture.queue.setRequestLimit(perSecond, start);
-        std::deque<instant> window;
-        auto now = start;
-        for (auto gap : gaps) {
-            now += std::chrono::milliseconds(gap % 400);
-            auto before = fixture.started.size();
-            (void)fixture.queue.admit(fixture.make("limited", 1, 3600s, 7200s), now);
-            fixture.queue.dispatch(now);
-            for (auto i = before; i < fixture.started.size(); ++i)
-                window.push_back(now);
-            while (!window.empty() && now - window.front() > 4s)
-                window.pop_front();
-            RC_ASSERT(static_cast<double>(window.size()) <= tolerated);
-        }
-        auto perMean = std::chrono::duration<double>(now - start).count() * perSecond;
+        auto end = playWishes(fixture, gaps, 400ms, 4s, tolerated);
+        auto perMean = std::chrono::duration<double>(end - start).count() * perSecond;
         auto wanted = std::min<double>(static_cast<double>(gaps.size()), perMean);
         RC_ASSERT(static_cast<double>(fixture.started.size()) >= wanted * 0.5 - 2);
     }));
