Close unused links between nodes and check the others only when it is due

Cause: every link between two nodes had a timer of 250 ms at both ends, and both ends pinged it each second, whether or not it carried anything. A link was never closed, and gossip with random nodes opens one to every node in time, so the wake-ups of a node grew with the fleet.

A link is now checked when its next ping, limit or idle end is due. Without open streams only the client pings, and it closes the link after 4 s. An idle close is not a failure of the node.

Also fixed: a node whose unresponsive link was replaced by one that works stayed unresponsive for good at this node, since only the present link resets the flag and a new link begins as responsive. Gossip replaces such links all the time, so a server was lost to the node after each cut. Any reply now clears the flag.

--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "peer_forwarder.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace pomelohub {
@@ -98,7 +99,7 @@
                         if (isUnresponsive)
                             m_reachability.recordFailure(endpoint, m_hooks.clock().monotonic);
                         else
-                            m_reachability.recordResponse(endpoint);
+                            recordResponse(endpoint);
                         m_log.write(event_priority::failure, isUnresponsive ? "link_silent" : "link_alive",
                             {}, { { "peer", endpoint } });
                     },
@@ -115,12 +116,28 @@
             found->second.link = nullptr;
             m_log.write(event_priority::failure, "link_lost", {}, { { "peer", endpoint } });
         },
-        nullptr, m_hooks.clock });
+        nullptr, m_hooks.clock,
+        [this, endpoint, rawPointer] {
+            auto found = m_links.find(endpoint);
+            if (found != m_links.end() && found->second.link.get() == rawPointer)
+                m_links.erase(found);
+        } });
     entry.link = link;
     link->connect(*address);
     return link;
 }
 
+void peer_forwarder::recordResponse(const std::string& endpoint)
+{
+    m_reachability.recordResponse(endpoint);
+    auto found = m_links.find(endpoint);
+    if (found == m_links.end())
+        return;
+    // The flag may come from a link that this one has replaced.
+    for (const auto& each : found->second.peers)
+        each->isUnresponsive = false;
+}
+
 handle<forward_call> peer_forwarder::forward(
     const handle<peer_state>& peer, const forwarded_request& request, reply_hook done)
 {
@@ -187,7 +204,7 @@
             [this, forwardCall, done, isHead](peer_message&& message) {
                 if (forwardCall->m_isDone)
                     return;
-                m_reachability.recordResponse(forwardCall->m_peer->announcement.endpoint);
+                recordResponse(forwardCall->m_peer->announcement.endpoint);
                 forwardCall->release();
                 done(decodeForwardReply(message, isHead));
             },
@@ -264,12 +281,18 @@
     pending->call = link->call(std::move(message), false,
         { nullptr,
             [this, pending](peer_message&& response) {
-                m_reachability.recordResponse(pending->endpoint);
+                recordResponse(pending->endpoint);
                 pending->finish(std::move(response));
             },
             [pending](peer_call_failure) { pending->finish(std::nullopt); } });
 }
 
+std::size_t peer_forwarder::linkCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_links.begin(), m_links.end(), [](const auto& entry) { return entry.second.link != nullptr; }));
+}
+
 void peer_forwarder::closeLinksExcept(const std::set<std::string>& endpoints)
 {
     for (auto entry = m_links.begin(); entry != m_links.end();) {
--- a/packages/proxy/src/peer_forwarder.h
+++ b/packages/proxy/src/peer_forwarder.h
@@ -69,6 +69,9 @@
     /** Which nodes have stopped answering the requests of this thread. */
     const reachability& nodeReachability() const { return m_reachability; }
 
+    /** Number of links that are open or being opened. */
+    std::size_t linkCount() const;
+
     /** Closes the links to nodes that are not in \p endpoints. A link with open streams is kept until a later
      * call finds it idle. */
     void closeLinksExcept(const std::set<std::string>& endpoints);
@@ -77,6 +80,7 @@
     struct pending_request;
 
     void scheduleTimeout(const handle<pending_request>& pending);
+    void recordResponse(const std::string& endpoint);
     handle<peer_link> linkTo(const std::string& endpoint, const handle<peer_state>& peer);
     void forwardLocally(
         const handle<forward_call>& forwardCall, const forwarded_request& request, reply_hook done);
--- a/packages/proxy/src/peer_link.cpp
+++ b/packages/proxy/src/peer_link.cpp
@@ -16,6 +16,7 @@
     constexpr std::int32_t connectionWindowBytes = 16 << 20;
     constexpr std::uint32_t maxConcurrentStreams = 4096;
     constexpr std::size_t maxWriteBytes = 256 << 10; ///< Bytes collected before one write to the socket.
+    constexpr duration minCheckInterval = std::chrono::milliseconds(1); ///< Between checks of the keepalive.
 
     constexpr std::string_view kindField = "kind";
     constexpr std::string_view kindOffer = "offer";
@@ -135,6 +136,7 @@
         request->m_link = &link;
         request->m_stream = frame->hd.stream_id;
         link.m_requests.emplace(frame->hd.stream_id, request);
+        link.recordStreamStart();
         return 0;
     }
 
@@ -340,6 +342,7 @@
     nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, connectionWindowBytes);
     m_isConnected = true;
     m_lastReceived = m_hooks.clock().monotonic;
+    m_lastUsed = m_lastReceived;
     writePending();
     readNext();
 }
@@ -396,6 +399,7 @@
         return;
     }
     m_calls.emplace(call.m_stream, &call);
+    recordStreamStart();
     writePending();
 }
 
@@ -495,6 +499,28 @@
         m_hooks.onUnresponsiveChanged(isUnresponsive);
 }
 
+duration peer_link::pingIntervalFor(std::size_t streams) const
+{
+    if (m_isClient)
+        return streams > 0 ? m_policy.pingInterval : m_policy.idlePingInterval;
+    return streams > 0 ? 2 * m_policy.pingInterval : duration::max();
+}
+
+instant peer_link::idleEnd() const
+{
+    return m_lastUsed + (m_isClient ? m_policy.idleTimeout : 3 * m_policy.idleTimeout);
+}
+
+void peer_link::recordStreamStart()
+{
+    if (!m_isConnected || m_isClosed)
+        return;
+    m_lastUsed = m_hooks.clock().monotonic;
+    // On a link that was idle the next check may be far away.
+    if (m_nextCheck > m_lastUsed + pingIntervalFor(1))
+        scheduleKeepalive(m_lastUsed);
+}
+
 void peer_link::checkKeepalive()
 {
     if (m_isClosed)
@@ -506,13 +532,35 @@
     }
     if (m_pingSentAt && now - *m_pingSentAt >= m_policy.unresponsiveAfter)
         setUnresponsive(true);
-    auto interval = streamCount() > 0 ? m_policy.pingInterval : m_policy.idlePingInterval;
-    if (!m_pingSentAt && now - m_lastReceived >= interval) {
+    if (streamCount() > 0) {
+        m_lastUsed = now;
+    } else if (!m_pingSentAt && now >= idleEnd()) {
+        if (m_hooks.onIdle)
+            m_hooks.onIdle();
+        close();
+        return;
+    }
+    if (!m_pingSentAt && now - m_lastReceived >= pingIntervalFor(streamCount())) {
         m_pingSentAt = now;
         nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
         writePending();
     }
-    m_timer.expires_after(m_policy.pingInterval);
+    scheduleKeepalive(now);
+}
+
+void peer_link::scheduleKeepalive(instant now)
+{
+    if (m_pingSentAt) {
+        auto limit = m_isUnresponsive ? m_policy.keepaliveTimeout : m_policy.unresponsiveAfter;
+        m_nextCheck = *m_pingSentAt + limit;
+    } else {
+        auto interval = pingIntervalFor(streamCount());
+        m_nextCheck = interval == duration::max() ? idleEnd() : m_lastReceived + interval;
+        if (streamCount() == 0)
+            m_nextCheck = std::min(m_nextCheck, idleEnd());
+    }
+    m_nextCheck = std::max(m_nextCheck, now + minCheckInterval);
+    m_timer.expires_at(m_nextCheck);
     m_timer.async_wait([self = handle<peer_link>(this)](std::error_code error) {
         if (!error)
             self->checkKeepalive();
--- a/packages/proxy/src/peer_link.h
+++ b/packages/proxy/src/peer_link.h
@@ -108,8 +108,13 @@
 struct peer_link_policy {
     /** A ping is sent after this long without input, while the link has open streams. */
     duration pingInterval = std::chrono::milliseconds(250);
-    /** The same for a link without open streams. */
+    /** The same for a link without open streams, where only the client pings. With open streams the client
+     * pings first, and the server after twice pingInterval, so that one of them asks and the other answers.
+     */
     duration idlePingInterval = std::chrono::seconds(1);
+    /** A client closes a link that has had no open stream for this long, so that the number of links follows
+     * from the requests and not from the size of the fleet. A server does so after three times that. */
+    duration idleTimeout = std::chrono::seconds(4);
     /** A link is unresponsive when it has received no byte for this long after a ping. */
     duration unresponsiveAfter = std::chrono::milliseconds(800);
     /** A link is closed when it has received no byte for this long after a ping. */
@@ -125,6 +130,8 @@
         std::function<void()> onClosed;
         peer_request_hook onRequest; ///< Called in the server role only.
         clock_hook clock;
+        /** The link has had no open stream for the idle timeout and closes; called before onClosed. */
+        std::function<void()> onIdle = nullptr;
     };
 
     /** A link in the client role. It is opened by connect(). */
@@ -173,6 +180,10 @@
     void readNext();
     void writePending();
     void checkKeepalive();
+    void scheduleKeepalive(instant now);
+    duration pingIntervalFor(std::size_t streams) const;
+    instant idleEnd() const;
+    void recordStreamStart();
     void recordReceived();
     void setUnresponsive(bool isUnresponsive);
     void failStreams();
@@ -190,7 +201,9 @@
     std::array<std::uint8_t, 16'384> m_input {};
     std::string m_output;
     instant m_lastReceived {};
+    instant m_lastUsed {}; ///< When a stream was last known to be open.
     std::optional<instant> m_pingSentAt;
+    instant m_nextCheck {}; ///< When the timer expires, on a connected link.
     bool m_isConnected = false;
     bool m_isWriting = false;
     bool m_isInsideSession = false;
--- a/test/proxy/peer_forwarder.cpp
+++ b/test/proxy/peer_forwarder.cpp
@@ -114,3 +114,94 @@
     CHECK(runUntil(fixture.context, [&] { return fixture.reply.has_value(); }));
     CHECK_FALSE(*fixture.reply);
 }
+
+namespace {
+
+/** A node that answers every request, and a forwarder that knows it. */
+struct peer_fixture {
+    asio::io_context context;
+    tcp::acceptor acceptor { context, tcp::endpoint(asio::ip::address_v4::loopback(), 0) };
+    std::vector<handle<peer_link>> served;
+    std::vector<tcp::socket> muted;
+    bool isMute = false;
+    std::optional<peer_forwarder> forwarder;
+    handle<peer_state> peer;
+
+    explicit peer_fixture(peer_link_policy policy)
+    {
+        forwarder.emplace(
+            context, node_id("self"), policy, quietLog(), peer_forwarder::hooks { readSystemClock, nullptr });
+        instance_announcement announced;
+        announced.node = node_id("other");
+        announced.endpoint = textOf(acceptor.local_endpoint());
+        peer = handle<peer_state>(new peer_state(announced));
+        accept();
+    }
+
+    ~peer_fixture()
+    {
+        forwarder->closeLinksExcept({});
+        for (const auto& each : served)
+            each->close();
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([this](std::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            if (isMute) {
+                muted.push_back(std::move(socket));
+            } else {
+                served.push_back(peer_link::makeServer(std::move(socket), {},
+                    { nullptr, nullptr, [](const handle<peer_request>& request) { request->reply({}); },
+                        readSystemClock }));
+                served.back()->start();
+            }
+            accept();
+        });
+    }
+
+    /** Sends a request and waits for its reply or its failure. */
+    bool ask()
+    {
+        std::optional<bool> hasReply;
+        forwarder->sendRequest(peer->announcement.endpoint, { { { "type", "gossip" } }, "" }, 5s,
+            [&](const std::optional<peer_message>& received) { hasReply = received.has_value(); });
+        runUntil(context, [&] { return hasReply.has_value(); });
+        return hasReply.value_or(false);
+    }
+};
+
+} // namespace
+
+TEST_CASE("A node whose unresponsive link was replaced by one that works is responsive again")
+{
+    peer_link_policy policy;
+    policy.pingInterval = 5ms;
+    policy.unresponsiveAfter = 20ms;
+    peer_fixture fixture(policy);
+    fixture.isMute = true;
+    auto call = fixture.forwarder->forward(fixture.peer, {}, [](const forward_reply&) {});
+    REQUIRE(runUntil(fixture.context, [&] { return fixture.peer->isUnresponsive.load(); }));
+    fixture.isMute = false;
+    CHECK(fixture.ask());
+    CHECK_FALSE(fixture.peer->isUnresponsive);
+    call->cancel();
+}
+
+TEST_CASE("A link that is closed because it was idle is not a failure of its node")
+{
+    peer_link_policy policy;
+    policy.idlePingInterval = 20ms;
+    policy.idleTimeout = 50ms;
+    peer_fixture fixture(policy);
+    REQUIRE(fixture.ask());
+    CHECK(fixture.forwarder->linkCount() == 1);
+    CHECK(runUntil(fixture.context, [&] { return fixture.forwarder->linkCount() == 0; }));
+    auto now = readSystemClock().monotonic;
+    CHECK_FALSE(
+        fixture.forwarder->nodeReachability().isUnreachable(fixture.peer->announcement.endpoint, now));
+    CHECK_FALSE(fixture.peer->isAvoided(now));
+    CHECK(fixture.ask());
+}
--- a/test/proxy/peer_link.cpp
+++ b/test/proxy/peer_link.cpp
@@ -212,3 +212,50 @@
     // A reply that cannot be read proves nothing.
     CHECK(decodeForwardReply({}, false).response.error().outcome == execution::mayHaveRun);
 }
+
+namespace {
+
+peer_link_policy shortIdlePolicy()
+{
+    peer_link_policy policy;
+    policy.pingInterval = 10ms;
+    policy.idlePingInterval = 100ms;
+    policy.idleTimeout = 10s;
+    return policy;
+}
+
+} // namespace
+
+TEST_CASE("A link without open streams wakes its nodes for its pings only")
+{
+    link_fixture fixture(shortIdlePolicy());
+    std::size_t events = 0;
+    auto end = std::chrono::steady_clock::now() + 500ms;
+    fixture.context.restart();
+    while (std::chrono::steady_clock::now() < end)
+        events += fixture.context.run_one_for(5ms);
+    // A ping takes a timer, and a write and a read at both ends, each of which may come in two parts.
+    constexpr std::size_t pings = 5;
+    constexpr std::size_t eventsPerPing = 10;
+    CHECK(events <= pings * eventsPerPing);
+    CHECK(fixture.asking->isConnected());
+}
+
+TEST_CASE("A link without open streams is closed after its idle timeout, and one with a stream is kept")
+{
+    auto policy = shortIdlePolicy();
+    policy.idleTimeout = 60ms;
+    link_fixture unused(policy);
+    CHECK(unused.run([&] { return !unused.asking->isOpen() && !unused.asked->isOpen(); }));
+
+    link_fixture used(policy);
+    call_record record;
+    auto call = used.asking->call({ { { "type", "t" } }, "payload" }, false, record.hooks());
+    REQUIRE(used.run([&] { return used.requests.size() == 1; }));
+    auto end = std::chrono::steady_clock::now() + 4 * policy.idleTimeout;
+    used.run([&] { return std::chrono::steady_clock::now() > end; });
+    CHECK(used.asking->isConnected());
+    used.requests[0]->reply({});
+    CHECK(used.run([&] { return record.reply.has_value(); }));
+    CHECK(used.run([&] { return !used.asking->isOpen(); }));
+}
