Bound the links, messages and calls to the store by which a node learns of the fleet

Callers saw no fault; the cost of a node grew with the fleet.

- Messages carry the time since the sender's last contact with a reader, so that direct contacts to a reader are limited to 16 a second and the others hear of it through their partners.
- Changes of the announcements are published together, 50 ms after the first.
- A node that is not a reader gets its first operator state from a peer, and reads the store if it has none after 300 to 600 ms.
The second list is read only by a node that knows no other, the later ones only by readers of the log.

The field following_log is still written and read for nodes of earlier versions.

--- a/packages/decisions/src/fleet_controller.cpp
+++ b/packages/decisions/src/fleet_controller.cpp
@@ -70,15 +70,27 @@
 }
 
 bool fleet_controller::mergeAnnouncements(const std::vector<instance_announcement>& updates)
+{
+    bool isChanged = recordAnnouncements(updates);
+    publishAnnouncements();
+    return isChanged;
+}
+
+bool fleet_controller::recordAnnouncements(const std::vector<instance_announcement>& updates)
 {
     bool isChanged = false;
     for (const auto& update : updates)
         isChanged = m_announcements.merge(update) || isChanged;
-    if (isChanged)
-        publish();
+    m_isPublicationDue = m_isPublicationDue || isChanged;
     return isChanged;
 }
 
+void fleet_controller::publishAnnouncements()
+{
+    if (m_isPublicationDue)
+        publish();
+}
+
 handle<peer_state> fleet_controller::peerStateOf(const instance_announcement& announcement)
 {
     auto& known = m_peers[announcement.node];
@@ -89,6 +101,7 @@
 
 void fleet_controller::publish()
 {
+    m_isPublicationDue = false;
     handle<fleet_snapshot> next(new fleet_snapshot);
     next->routes = m_routes;
     next->evacuated = m_operators.evacuated;
--- a/packages/decisions/src/fleet_controller.h
+++ b/packages/decisions/src/fleet_controller.h
@@ -52,6 +52,14 @@
     /** Merges announcements of nodes. \return whether anything changed. */
     bool mergeAnnouncements(const std::vector<instance_announcement>& updates);
 
+    /** Merges announcements of nodes into the table; the snapshot follows with publishAnnouncements(). So one
+     * publication, whose cost grows with the fleet, serves many messages. \return whether anything changed.
+     */
+    bool recordAnnouncements(const std::vector<instance_announcement>& updates);
+
+    /** Publishes a snapshot if recordAnnouncements() has changed the table since the last one. */
+    void publishAnnouncements();
+
     const operator_state& operators() const { return m_operators; }
 
     /** Fingerprint of the configuration document; 0 when there is none. */
@@ -85,6 +93,7 @@
     handle<const routing_table> m_routes;
     std::map<node_id, handle<peer_state>> m_peers;
     rcu_cell<fleet_snapshot> m_snapshot;
+    bool m_isPublicationDue = false;
 };
 
 } // namespace pomelohub
--- a/packages/decisions/src/log_reader_duty.cpp
+++ b/packages/decisions/src/log_reader_duty.cpp
@@ -62,11 +62,18 @@
     auto order = logReaderOrder(active, m_dataCentre);
     m_readerCount = logReadersPerDataCentre(active, m_policy.fleetReaders);
     m_rank = static_cast<std::size_t>(std::find(order.begin(), order.end(), m_self) - order.begin());
+    m_nodeCount = order.size();
     order.resize(std::min(order.size(), m_readerCount));
     std::erase(order, m_self);
     m_otherReaders = std::move(order);
 }
 
+double log_reader_duty::contactProbability(duration interval) const
+{
+    auto contacts = static_cast<double>(m_nodeCount) / std::chrono::duration<double>(interval).count();
+    return std::min(1.0, m_policy.maxContactsPerSecond * static_cast<double>(m_readerCount) / contacts);
+}
+
 instant log_reader_duty::startsAt() const
 {
     if (m_rank < m_readerCount)
--- a/packages/decisions/src/log_reader_duty.h
+++ b/packages/decisions/src/log_reader_duty.h
@@ -7,6 +7,7 @@
 
 #include "instance_announcement.h"
 
+#include <algorithm>
 #include <span>
 
 namespace pomelohub {
@@ -18,6 +19,9 @@
     /** Added to contactTimeout each time that the number of nodes which come first doubles, so that few nodes
      * take over from a reader that has failed. */
     duration takeoverDelay = std::chrono::milliseconds(150);
+    /** Limits the messages that the other nodes of a data centre send to each of its readers, which have the
+     * same share of a processor as any node. */
+    double maxContactsPerSecond = 16;
 };
 
 /** Decides when a node has to read the log itself. The nodes of a data centre take the duty in an order that
@@ -30,8 +34,14 @@
     /** Updates the order of the nodes from \p active, the announcements of the nodes that have not left. */
     void update(std::span<const instance_announcement> active);
 
-    /** Records a message from a node that follows the log. */
-    void recordContact(instant now) { m_lastContact = now; }
+    /** Records that a node that follows the log was heard at \p at, by this node or by one that says so. */
+    void recordContact(instant at) { m_lastContact = std::max(m_lastContact, at); }
+
+    instant lastContact() const { return m_lastContact; }
+
+    /** The fraction of \p interval long rounds in which this node contacts a reader itself; in the others it
+     * learns from the nodes that do. */
+    double contactProbability(duration interval) const;
 
     /** The time from which this node has to read the log unless it has contact to a reader before;
      * instant::min() if it is a reader. */
@@ -46,6 +56,7 @@
     log_reader_policy m_policy;
     instant m_lastContact;
     std::size_t m_readerCount = 1;
+    std::size_t m_nodeCount = 1; ///< In the data centre.
     std::size_t m_rank = 0; ///< Of this node; those below the number of readers are readers.
     std::vector<node_id> m_otherReaders;
 };
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -20,10 +20,11 @@
     , m_announceTimer(context)
     , m_listTimer(context)
     , m_gossipTimer(context)
+    , m_publicationTimer(context)
     , m_pollRetryDelay(policy.initialRetryDelay)
     , m_announceRetryDelay(policy.initialRetryDelay)
-    , m_nextListInterval(policy.initialListInterval)
     , m_readerDuty(m_self.node, m_self.dataCentre, policy.logReaders, m_hooks.clock().monotonic)
+    , m_partners(m_self.node, policy.partners)
 {
 }
 
@@ -31,12 +32,44 @@
 {
     m_startedAt = m_hooks.clock().monotonic;
     m_controller.mergeAnnouncements({ m_self });
-    m_readerDuty.update(m_controller.announcements().active());
-    readOperatorState();
+    updateMembers();
+    followLater();
     announce();
     gossip();
 }
 
+void control_loop::followLater()
+{
+    m_pollTimer.expires_after(randomDuration(m_policy.minFirstReadDelay, m_policy.maxFirstReadDelay));
+    m_pollTimer.async_wait([this](std::error_code error) {
+        if (!error)
+            startFollowing();
+    });
+}
+
+void control_loop::startFollowing()
+{
+    if (std::exchange(m_hasStartedFollowing, true))
+        return;
+    if (m_controller.operators().document.empty())
+        readOperatorState();
+    else
+        pollOperatorLog();
+}
+
+/** Called when the other nodes are known for the first time. */
+void control_loop::learnFirstState()
+{
+    if (isLogReader()) {
+        if (!m_hasStartedFollowing)
+            m_pollTimer.cancel();
+        startFollowing();
+        return;
+    }
+    for (const auto& endpoint : m_partners.next(1, m_hooks.random, m_hooks.clock().monotonic))
+        requestOperatorState(endpoint);
+}
+
 void control_loop::scheduleRetry(asio::steady_timer& timer, duration& delay, std::function<void()> operation)
 {
     // Jitter over half of the delay keeps nodes that lost the store at the same time from retrying in step.
@@ -69,8 +102,10 @@
 
 void control_loop::readOperatorState()
 {
+    m_isReadingState = true;
     m_store.readOperatorState(
         [this, startedAt = m_hooks.clock().monotonic](tl::expected<operator_state, store_failure> state) {
+            m_isReadingState = false;
             updateStoreStatus(state.has_value(), "read_operators");
             if (!state) {
                 m_hasFirstReadFailed = true;
@@ -94,8 +129,33 @@
 
 void control_loop::mergeAnnouncements(const std::vector<instance_announcement>& updates)
 {
-    if (m_controller.mergeAnnouncements(updates))
-        m_readerDuty.update(m_controller.announcements().active());
+    if (!m_controller.recordAnnouncements(updates) || m_isPublicationScheduled)
+        return;
+    m_isPublicationScheduled = true;
+    m_publicationTimer.expires_after(m_policy.publicationDelay);
+    m_publicationTimer.async_wait([this](std::error_code error) {
+        if (!error)
+            updateMembers();
+    });
+}
+
+void control_loop::updateMembers()
+{
+    m_isPublicationScheduled = false;
+    m_controller.publishAnnouncements();
+    auto active = m_controller.announcements().active();
+    m_readerDuty.update(active);
+    m_partners.update(active);
+    m_localEndpoints.clear();
+    m_remoteEndpoints.clear();
+    for (const auto& each : active) {
+        if (each.node != m_self.node)
+            (each.dataCentre == m_self.dataCentre ? m_localEndpoints : m_remoteEndpoints)
+                .push_back(each.endpoint);
+    }
+    m_readerEndpoints.clear();
+    for (const auto& node : m_readerDuty.otherReaders())
+        m_readerEndpoints.push_back(m_controller.announcements().find(node)->endpoint);
 }
 
 void control_loop::pollAfterDelay()
@@ -165,61 +225,71 @@
 {
     m_store.readAnnouncements([this](tl::expected<std::vector<instance_announcement>, store_failure> all) {
         updateStoreStatus(all.has_value(), "read_announcements");
-        if (all)
+        if (all) {
             mergeAnnouncements(*all);
-        m_listTimer.expires_after(
-            all ? std::exchange(m_nextListInterval, m_policy.listInterval) : m_policy.maxRetryDelay);
-        m_listTimer.async_wait([this](std::error_code error) {
-            if (!error)
-                readAnnouncements();
-        });
+            updateMembers();
+        }
+        if (all && !std::exchange(m_hasReadAnnouncements, true))
+            learnFirstState();
+        scheduleNextList(all.has_value());
     });
 }
 
-std::vector<std::string> control_loop::selectEndpoints(std::vector<std::string> candidates, std::size_t count)
+void control_loop::scheduleNextList(bool hasSucceeded)
 {
-    std::vector<std::string> chosen;
-    while (!candidates.empty() && chosen.size() < count) {
+    bool isLonely = m_localEndpoints.empty() && m_remoteEndpoints.empty();
+    m_listTimer.expires_after(!hasSucceeded ? m_policy.maxRetryDelay
+            : isLonely                      ? m_policy.lonelyListInterval
+                                            : m_policy.listInterval);
+    m_listTimer.async_wait([this, mustRead = !hasSucceeded || isLonely](std::error_code error) {
+        if (error)
+            return;
+        if (mustRead || m_isPolling)
+            readAnnouncements();
+        else
+            scheduleNextList(true); // The readers of the log repair what gossip has missed.
+    });
+}
+
+std::vector<std::string> control_loop::selectEndpoints(
+    const std::vector<std::string>& candidates, std::size_t count)
+{
+    std::vector<std::size_t> chosen;
+    for (count = std::min(count, candidates.size()); chosen.size() < count;) {
         auto at = static_cast<std::size_t>(m_hooks.random(candidates.size()));
-        std::swap(candidates[at], candidates.back());
-        chosen.push_back(std::move(candidates.back()));
-        candidates.pop_back();
+        while (std::find(chosen.begin(), chosen.end(), at) != chosen.end())
+            at = (at + 1) % candidates.size();
+        chosen.push_back(at);
     }
-    return chosen;
+    std::vector<std::string> endpoints;
+    for (auto at : chosen)
+        endpoints.push_back(candidates[at]);
+    return endpoints;
 }
 
 std::vector<std::string> control_loop::selectGossipPeers()
 {
-    std::vector<std::string> readers;
-    for (const auto& node : m_readerDuty.otherReaders()) {
-        if (const auto* reader = m_controller.announcements().find(node))
-            readers.push_back(reader->endpoint);
-    }
-    auto chosen = selectEndpoints(std::move(readers), 1);
-    std::vector<std::string> others;
-    for (const auto& each : m_controller.announcements().active()) {
-        if (each.node != m_self.node
-            && std::find(chosen.begin(), chosen.end(), each.endpoint) == chosen.end())
-            others.push_back(each.endpoint);
+    constexpr std::uint64_t resolution = 1024;
+    std::vector<std::string> chosen;
+    auto probability = m_readerDuty.contactProbability(m_policy.gossipInterval);
+    if (static_cast<double>(m_hooks.random(resolution)) < probability * resolution)
+        chosen = selectEndpoints(m_readerEndpoints, 1);
+    auto partners
+        = m_partners.next(m_policy.gossipFanout - chosen.size(), m_hooks.random, m_hooks.clock().monotonic);
+    for (auto& each : partners) {
+        if (std::find(chosen.begin(), chosen.end(), each) == chosen.end())
+            chosen.push_back(std::move(each));
     }
-    if (others.empty() && chosen.empty())
-        others = m_seeds;
-    for (auto& each : selectEndpoints(std::move(others), m_policy.gossipFanout - chosen.size()))
-        chosen.push_back(std::move(each));
+    if (chosen.empty())
+        chosen = selectEndpoints(m_seeds, m_policy.gossipFanout);
     return chosen;
 }
 
 void control_loop::spreadOperatorState()
 {
-    std::vector<std::string> local;
-    std::vector<std::string> remote;
-    for (const auto& each : m_controller.announcements().active()) {
-        if (each.node != m_self.node)
-            (each.dataCentre == m_self.dataCentre ? local : remote).push_back(each.endpoint);
-    }
-    for (const auto& endpoint : selectEndpoints(std::move(local), m_policy.localSpreadFanout))
+    for (const auto& endpoint : selectEndpoints(m_localEndpoints, m_policy.localSpreadFanout))
         gossipWith(endpoint);
-    for (const auto& endpoint : selectEndpoints(std::move(remote), m_policy.remoteSpreadFanout))
+    for (const auto& endpoint : selectEndpoints(m_remoteEndpoints, m_policy.remoteSpreadFanout))
         gossipWith(endpoint);
 }
 
@@ -238,8 +308,10 @@
 {
     m_hooks.sendRequest(endpoint, encodeGossip(makeGossip(nullptr)), m_policy.gossipTimeout,
         [this, endpoint](const std::optional<peer_message>& response) {
-            if (!response)
+            if (!response) {
+                m_partners.recordFailure(endpoint);
                 return; // The peer link logs its own failures.
+            }
             auto update = decodeGossip(*response);
             if (!update) {
                 m_log.write(event_priority::failure, "gossip_unreadable", {}, { { "peer", endpoint } });
@@ -269,7 +341,7 @@
 void control_loop::requestOperatorState(const std::string& endpoint)
 {
     auto now = m_hooks.clock().monotonic;
-    bool isFirstRead = m_controller.operators().document.empty() && !m_hasFirstReadFailed
+    bool isFirstRead = m_isReadingState && m_controller.operators().document.empty() && !m_hasFirstReadFailed
         && now - m_startedAt < m_policy.firstReadTimeout;
     if (m_isTransferring || isFirstRead)
         return;
@@ -295,7 +367,8 @@
     update.position = m_controller.operators().position;
     update.fingerprint = m_controller.announcements().fingerprint();
     update.quarantined = m_quarantine.notices(m_hooks.clock().monotonic);
-    update.isFollowingLog = isFollowingLog();
+    update.contactAge
+        = isFollowingLog() ? duration::zero() : m_hooks.clock().monotonic - m_readerDuty.lastContact();
     update.announcements = { m_self };
     if (request && request->partFingerprints)
         update.announcements = m_controller.announcements().entriesThatDiffer(*request->partFingerprints);
@@ -352,8 +425,8 @@
 
 void control_loop::applyGossip(const gossip_update& update)
 {
-    if (update.isFollowingLog)
-        m_readerDuty.recordContact(m_hooks.clock().monotonic);
+    if (update.contactAge)
+        m_readerDuty.recordContact(m_hooks.clock().monotonic - *update.contactAge);
     mergeAnnouncements(update.announcements);
     if (update.unreadableAnnouncements > 0)
         m_log.write(event_priority::failure, "announcement_unreadable", {},
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -8,6 +8,7 @@
 #include "event_log.h"
 #include "fleet_store.h"
 #include "gossip.h"
+#include "gossip_partners.h"
 #include "log_reader_duty.h"
 #include "peer_choice.h"
 #include "proxy_metrics.h"
@@ -28,18 +29,26 @@
         = std::chrono::milliseconds(100); ///< Doubles with each failure, up to maxRetryDelay.
     duration maxRetryDelay = std::chrono::seconds(1);
     duration gossipInterval = std::chrono::milliseconds(500);
-    std::size_t gossipFanout = 2; ///< Peers contacted per interval: a reader of the log and any others.
+    std::size_t gossipFanout = 2; ///< Peers contacted per interval: a reader of the log and partners.
     /** Peers that are told at once of new operator state, here and in other data centres. Each of them tells
      * as many, so that a change reaches n nodes in about log4(n) steps. */
     std::size_t localSpreadFanout = 3;
     std::size_t remoteSpreadFanout = 1;
     duration gossipTimeout = std::chrono::milliseconds(800);
+    gossip_partner_policy partners;
+    /** A node that is not a reader of the log gets its first operator state from a peer. It reads the state
+     * from the store itself if it has none after a time that is drawn from this range. */
+    duration minFirstReadDelay = std::chrono::milliseconds(300);
+    duration maxFirstReadDelay = std::chrono::milliseconds(600);
     /** A starting node does not ask peers for the whole document while the store may still send it. */
     duration firstReadTimeout = std::chrono::seconds(2);
-    duration initialListInterval
-        = std::chrono::milliseconds(1500); ///< Between the first and the second read of all announcements.
-    duration listInterval
-        = std::chrono::seconds(60); ///< Between later reads, which only repair what gossip has missed.
+    /** Between reads of all announcements by a node that knows no other. */
+    duration lonelyListInterval = std::chrono::milliseconds(1500);
+    /** Between reads of all announcements by the readers of the log, which only repair what gossip has
+     * missed. */
+    duration listInterval = std::chrono::seconds(60);
+    /** From a change of the announcements to the snapshot that contains it and others that came meanwhile. */
+    duration publicationDelay = std::chrono::milliseconds(50);
 };
 
 /** Thread safety: only used on the thread of its execution context; hooks are called there, too. */
@@ -75,6 +84,12 @@
 
 private:
     void readOperatorState();
+    void followLater();
+    void startFollowing();
+    void learnFirstState();
+    void scheduleNextList(bool hasSucceeded);
+    void updateMembers();
+    bool isLogReader() const { return m_readerDuty.startsAt() == instant::min(); }
     void pollOperatorLog();
     void pollAfterDelay();
     duration randomDuration(duration min, duration max);
@@ -92,7 +107,7 @@
     const std::string& encodedTransfer(document_fingerprint base);
     std::optional<std::string> transferredDocument(operator_transfer& transfer) const;
     std::vector<std::string> selectGossipPeers();
-    std::vector<std::string> selectEndpoints(std::vector<std::string> candidates, std::size_t count);
+    std::vector<std::string> selectEndpoints(const std::vector<std::string>& candidates, std::size_t count);
     void mergeAnnouncements(const std::vector<instance_announcement>& updates);
     bool isFollowingLog() const { return m_isPolling && !m_isStoreUnavailable; }
     void scheduleRetry(asio::steady_timer& timer, duration& delay, std::function<void()> operation);
@@ -112,18 +127,27 @@
     asio::steady_timer m_announceTimer;
     asio::steady_timer m_listTimer;
     asio::steady_timer m_gossipTimer;
+    asio::steady_timer m_publicationTimer;
     duration m_pollRetryDelay;
     duration m_announceRetryDelay;
-    duration m_nextListInterval;
     struct {
         std::uint64_t position = 0;
         document_fingerprint base = 0;
         std::string bytes;
     } m_lastTransfer; ///< Encoded; most nodes that are behind have the same document.
     log_reader_duty m_readerDuty;
+    gossip_partners m_partners;
+    /** Endpoints of the other nodes in this data centre and elsewhere, and of the readers of the log here. */
+    std::vector<std::string> m_localEndpoints;
+    std::vector<std::string> m_remoteEndpoints;
+    std::vector<std::string> m_readerEndpoints;
     instant m_startedAt {};
     bool m_isStoreUnavailable = false;
     bool m_hasFirstReadFailed = false;
+    bool m_hasStartedFollowing = false;
+    bool m_hasReadAnnouncements = false;
+    bool m_isReadingState = false; ///< A read of the whole operator state from the store is pending.
+    bool m_isPublicationScheduled = false;
     bool m_isPolling = false; ///< Reads the log itself, rather than learning of changes from peers.
     bool m_isTransferring = false; ///< A request for operator state is pending; there is one at a time.
 };
--- a/packages/proxy/src/gossip.cpp
+++ b/packages/proxy/src/gossip.cpp
@@ -12,6 +12,7 @@
     using nlohmann::json;
 
     constexpr std::size_t maxTransferBytes = 64 << 20;
+    constexpr std::uint64_t maxContactAgeMs = 3'600'000; ///< Older contacts count as this old.
     constexpr std::size_t maxDepth = 16; ///< Of nested arrays and objects; messages use fewer.
 
     /** Thrown on an invalid message or announcement. Caught within this file. */
@@ -140,7 +141,12 @@
             const auto& bytes = body.at("operators").get_binary();
             update.operators.emplace(bytes.begin(), bytes.end());
         }
-        update.isFollowingLog = body.value("following_log", false);
+        if (body.contains("contact_age_ms")) {
+            auto age = std::min(parseUnsigned(body.at("contact_age_ms")), maxContactAgeMs);
+            update.contactAge = std::chrono::milliseconds(static_cast<std::int64_t>(age));
+        } else if (body.value("following_log", false)) {
+            update.contactAge = duration::zero(); // From a node of an earlier version.
+        }
         if (body.contains("part_fingerprints"))
             update.partFingerprints
                 = body.at("part_fingerprints").get<announcement_table::part_fingerprints>();
@@ -192,9 +198,12 @@
 {
     json body { { "from", update.from.text() }, { "position", update.position },
         { "fingerprint", update.fingerprint }, { "announcements", json::array() },
-        { "quarantined", json::array() }, { "following_log", update.isFollowingLog } };
+        { "quarantined", json::array() }, { "following_log", update.contactAge == duration::zero() } };
     for (const auto& each : update.announcements)
         body["announcements"].push_back(toJson(each));
+    if (update.contactAge)
+        body["contact_age_ms"] = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(*update.contactAge).count());
     if (update.partFingerprints)
         body["part_fingerprints"] = *update.partFingerprints;
     if (update.documentBase)
--- a/packages/proxy/src/gossip.h
+++ b/packages/proxy/src/gossip.h
@@ -30,8 +30,9 @@
     /** Of the sender's table: in a response if the fingerprints differ, and in the request that follows it,
      * to which both sides add the announcements of the parts that differ. */
     std::optional<announcement_table::part_fingerprints> partFingerprints;
-    /** Whether the sender reads the operators' log itself, with success so far. */
-    bool isFollowingLog = false;
+    /** Time since the sender, or a node from which it knows, was last in contact with a node that reads the
+     * operators' log; zero if the sender reads it itself, with success so far. */
+    std::optional<duration> contactAge;
     /** In a request: the sender asks for newer operator state and has the document with this fingerprint, or
      * none if it is 0. */
     std::optional<document_fingerprint> documentBase;
--- /dev/null
+++ b/test/proxy/fleet_growth.cpp
@@ -0,0 +1,149 @@
+/** \file
+ * What a node of a large fleet costs the others and the store: links, messages and calls that do not grow
+ * with the number of nodes.
+ */
+#include "control_fleet.h"
+
+using namespace pomelohub;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t nodes = 200;
+const std::string document = "1";
+
+} // namespace
+
+TEST_CASE("Gossip in a large fleet opens few links to nodes that had none")
+{
+    fleet_fixture fleet(nodes, document);
+    auto idleTimeout = peer_link_policy {}.idleTimeout;
+    fleet.startAll();
+    fleet.runFor(idleTimeout);
+    std::vector<std::set<std::size_t>> linked;
+    for (const auto& each : fleet.members)
+        linked.push_back(each->contacted);
+    fleet.resetCounts();
+    fleet.runFor(idleTimeout);
+    std::size_t largest = 0;
+    for (std::size_t i = 0; i < nodes; ++i) {
+        std::size_t opened = 0;
+        for (auto other : fleet.members[i]->contacted)
+            opened += linked[i].contains(other) ? 0 : 1;
+        largest = std::max(largest, opened);
+    }
+    auto rotations = static_cast<std::size_t>(idleTimeout / gossip_partner_policy {}.rotationInterval) + 1;
+    constexpr std::size_t localReaders = 3;
+    CHECK(largest <= rotations + localReaders);
+}
+
+TEST_CASE("A reader of the log in a large fleet gets few messages more than any node")
+{
+    fleet_fixture fleet(nodes, document);
+    fleet.startAll();
+    fleet.resetCounts();
+    constexpr auto time = 3s;
+    fleet.runFor(time);
+    double largest = 0;
+    for (const auto& each : fleet.members)
+        largest = std::max(largest, static_cast<double>(each->messagesReceived));
+    control_policy policy;
+    auto fromPartners = static_cast<double>(policy.gossipFanout) * (time / policy.gossipInterval);
+    auto fromReaders = policy.logReaders.maxContactsPerSecond * std::chrono::duration<double>(time).count();
+    // The number of messages of partners and contacts varies by chance.
+    CHECK(largest <= 2 * (fromPartners + fromReaders));
+}
+
+TEST_CASE("Nodes that hear of the readers through others only do not read the log")
+{
+    fleet_fixture fleet(nodes, document);
+    fleet.startAll();
+    fleet.runFor(control_policy {}.maxPollTimeout);
+    fleet.resetCounts();
+    constexpr std::uint64_t versions = 4;
+    for (std::uint64_t version = 2; version <= versions; ++version) {
+        fleet.log.append(std::to_string(version));
+        CHECK(runUntil(fleet.context, [&] { return fleet.countAt(version) == nodes; }));
+    }
+    constexpr std::size_t maxReaders = 15;
+    CHECK(fleet.log.documentsRead <= maxReaders * (versions - 1));
+}
+
+TEST_CASE("The nodes of a fleet that starts find one another and its configuration with few calls")
+{
+    fleet_fixture fleet(nodes, document, false);
+    for (const auto& each : fleet.members)
+        each->loop->start();
+    auto isComplete = [&] {
+        return std::all_of(fleet.members.begin(), fleet.members.end(), [](const auto& each) {
+            auto snapshot = each->controller.snapshot();
+            return each->controller.version() == 1 && snapshot->nodes.size() == nodes;
+        });
+    };
+    auto startedAt = std::chrono::steady_clock::now();
+    CHECK(runUntil(fleet.context, isComplete));
+    // Traffic begins eight seconds after the start of the smallest fleets.
+    CHECK(std::chrono::steady_clock::now() - startedAt < 4s);
+    fleet.runFor(2s);
+    CHECK(fleet.log.listsRead <= nodes + nodes / 20);
+    CHECK(fleet.log.statesRead <= nodes / 2);
+}
+
+TEST_CASE("A node whose list of the others comes late follows the log once")
+{
+    fleet_fixture fleet(1, document);
+    auto& member = *fleet.members[0];
+    store_callback<std::vector<instance_announcement>> list;
+    auto store = fleet.log.store();
+    store.announce = [](const instance_announcement&, const store_callback<std::monostate>& done) {
+        done(std::monostate {});
+    };
+    store.readAnnouncements
+        = [&](store_callback<std::vector<instance_announcement>> done) { list = std::move(done); };
+    member.loop = std::make_unique<control_loop>(fleet.context, fleet_fixture::announcementOf(0),
+        std::vector<std::string> {}, member.controller, member.quarantine, std::move(store),
+        control_policy {}, quietLog(), member.metrics,
+        control_loop::hooks { readSystemClock, [&](std::uint64_t below) { return fleet.generator() % below; },
+            [](const std::string&, const peer_message&, duration,
+                const std::function<void(std::optional<peer_message>)>& done) { done(std::nullopt); } });
+    member.loop->start();
+    REQUIRE(runUntil(fleet.context, [&] { return fleet.log.polls.size() == 1; }));
+    REQUIRE(list);
+    list(std::vector<instance_announcement> {});
+    fleet.runFor(500ms);
+    CHECK(fleet.log.polls.size() == 1);
+    CHECK(fleet.log.statesRead == 1);
+}
+
+TEST_CASE("A partner that does not answer is replaced, and the others change slowly")
+{
+    std::vector<instance_announcement> active;
+    for (std::size_t i = 0; i < nodes; ++i)
+        active.push_back(fleet_fixture::announcementOf(i));
+    std::mt19937_64 generator { 20261205 };
+    auto random = [&](std::uint64_t below) { return generator() % below; };
+    gossip_partner_policy policy;
+    gossip_partners partners(active[0].node, policy);
+    partners.update(active);
+    instant now {};
+    auto all = partners.next(policy.partners, random, now);
+    std::set<std::string> first(all.begin(), all.end());
+    CHECK(first.size() == policy.partners);
+    CHECK_FALSE(first.contains(active[0].endpoint));
+    partners.recordFailure(all[0]);
+    auto next = partners.next(policy.partners, random, now);
+    std::set<std::string> second(next.begin(), next.end());
+    CHECK(second.size() == policy.partners);
+    CHECK_FALSE(second.contains(all[0]));
+    now += policy.rotationInterval;
+    auto later = partners.next(policy.partners, random, now);
+    std::size_t kept = 0;
+    for (const auto& each : later)
+        kept += second.contains(each) ? 1 : 0;
+    CHECK(kept == policy.partners - 1);
+    // Of a fleet that is smaller than the number of partners, every node is one and stays one.
+    std::vector<instance_announcement> few(active.begin(), active.begin() + 4);
+    partners.update(few);
+    partners.recordFailure(few[1].endpoint);
+    CHECK(partners.next(policy.partners, random, now).size() == 3);
+}
