--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -15,7 +15,7 @@
     constexpr std::size_t maxIdleConnections = 64;
     constexpr int firstServerError = 500;
     constexpr int firstError = 400;
-    /** Interval of the checks for stuck requests, expired grants and requests delayed by the warm-up rate. */
+    /** Interval of the checks for stuck requests and expired grants, while there are requests. */
     constexpr duration checkInterval = milliseconds(100);
 
     /** A refusal as a plain request_error; notRun() returns it wrapped in tl::unexpected. */
@@ -47,7 +47,6 @@
               refuse(static_cast<gateway_request&>(*request), reason, false);
           })
 {
-    runChecks();
 }
 
 backend_gateway::~backend_gateway()
@@ -471,11 +470,19 @@
 {
     updateRetryShare();
     m_activeCount = m_queue.inUse() + m_queue.waitingCount();
-    auto now = m_hooks.clock().monotonic;
-    auto next = m_queue.nextStartTime(now);
-    if (!next || *next > now + checkInterval)
+    if (m_activeCount > 0)
+        scheduleChecks(m_hooks.clock().monotonic);
+}
+
+void backend_gateway::scheduleChecks(instant now)
+{
+    auto next = now + checkInterval;
+    if (auto nextStart = m_queue.nextStartTime(now))
+        next = std::min(next, *nextStart);
+    if (next >= m_nextCheck)
         return;
-    m_timer.expires_at(*next);
+    m_nextCheck = next;
+    m_timer.expires_at(next);
     m_timer.async_wait([this](std::error_code error) {
         if (!error)
             runChecks();
@@ -485,6 +492,7 @@
 void backend_gateway::runChecks()
 {
     auto now = m_hooks.clock().monotonic;
+    m_nextCheck = instant::max();
     m_queue.dispatch(now);
     auto stuckThreshold = std::max<duration>(
         m_policy.minStuckAge, scaled(m_queue.meanLatency(), m_policy.stuckLatencyFactor));
@@ -503,11 +511,6 @@
         refuse(*request, refusal(refusal_reason::pathFailed, "the request did not follow its offer"), false);
         m_queue.release(std::nullopt, now);
     }
-    m_timer.expires_after(checkInterval);
-    m_timer.async_wait([this](std::error_code error) {
-        if (!error)
-            runChecks();
-    });
     scheduleNextStart();
 }
 
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -149,6 +149,7 @@
     void applyWarmupLimit(instant now);
     void updateRetryShare();
     void scheduleNextStart();
+    void scheduleChecks(instant now);
     void runChecks();
 
     asio::io_context& m_context;
@@ -169,6 +170,7 @@
     std::atomic<std::size_t> m_activeCount { 0 };
     std::atomic<double> m_retryShare { 0 };
     std::optional<double> m_requestLimit; ///< As last named by the backend server, in requests per second.
+    instant m_nextCheck = instant::max(); ///< When the timer expires; max() if it is not set.
     bool m_isDraining = false;
 };
 
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -512,3 +512,19 @@
     fixture.beat("i-2", false, 2000ms);
     CHECK(fixture.submit().response);
 }
+
+TEST_CASE("A node whose backend server has no request is not woken")
+{
+    gateway_fixture fixture;
+    auto reply = fixture.submit(fixture.make());
+    REQUIRE(reply.response);
+    constexpr auto settling = 200ms;
+    auto settled = std::chrono::steady_clock::now() + settling;
+    runUntil(fixture.context, [&] { return std::chrono::steady_clock::now() > settled; });
+    std::size_t events = 0;
+    auto end = std::chrono::steady_clock::now() + 500ms;
+    fixture.context.restart();
+    while (std::chrono::steady_clock::now() < end)
+        events += fixture.context.run_one_for(5ms);
+    CHECK(events <= 1);
+}
