Wait for the list of nodes before the first read of the operator state

Before the first configuration there is also nothing to get from a peer, and each then read the empty state.

A starting node now waits for the list for 1.5 to 2.5 s, and a node that hears of a reader does not read the state at all. A node that has just started no longer tells others the age of a contact that it has not had.

--- a/packages/decisions/src/log_reader_duty.cpp
+++ b/packages/decisions/src/log_reader_duty.cpp
@@ -68,6 +68,17 @@
     m_otherReaders = std::move(order);
 }
 
+void log_reader_duty::recordContact(instant at)
+{
+    m_lastContact = std::max(m_lastContact, at);
+    m_hasContact = true;
+}
+
+std::optional<duration> log_reader_duty::contactAge(instant now) const
+{
+    return m_hasContact ? std::optional(now - m_lastContact) : std::nullopt;
+}
+
 double log_reader_duty::contactProbability(duration interval) const
 {
     auto contacts = static_cast<double>(m_nodeCount) / std::chrono::duration<double>(interval).count();
--- a/packages/decisions/src/log_reader_duty.h
+++ b/packages/decisions/src/log_reader_duty.h
@@ -7,7 +7,7 @@
 
 #include "instance_announcement.h"
 
-#include <algorithm>
+#include <optional>
 #include <span>
 
 namespace pomelohub {
@@ -35,9 +35,10 @@
     void update(std::span<const instance_announcement> active);
 
     /** Records that a node that follows the log was heard at \p at, by this node or by one that says so. */
-    void recordContact(instant at) { m_lastContact = std::max(m_lastContact, at); }
+    void recordContact(instant at);
 
-    instant lastContact() const { return m_lastContact; }
+    /** Time since the last recorded contact; nothing if there was none. */
+    std::optional<duration> contactAge(instant now) const;
 
     /** The fraction of \p interval long rounds in which this node contacts a reader itself; in the others it
      * learns from the nodes that do. */
@@ -55,6 +56,7 @@
     data_centre_id m_dataCentre;
     log_reader_policy m_policy;
     instant m_lastContact;
+    bool m_hasContact = false; ///< Otherwise m_lastContact is the start of this node.
     std::size_t m_readerCount = 1;
     std::size_t m_nodeCount = 1; ///< In the data centre.
     std::size_t m_rank = 0; ///< Of this node; those below the number of readers are readers.
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -40,7 +40,7 @@
 
 void control_loop::followLater()
 {
-    m_pollTimer.expires_after(randomDuration(m_policy.minFirstReadDelay, m_policy.maxFirstReadDelay));
+    m_pollTimer.expires_after(randomDuration(m_policy.minListWait, m_policy.maxListWait));
     m_pollTimer.async_wait([this](std::error_code error) {
         if (!error)
             startFollowing();
@@ -51,10 +51,7 @@
 {
     if (std::exchange(m_hasStartedFollowing, true))
         return;
-    if (m_controller.operators().document.empty())
-        readOperatorState();
-    else
-        pollOperatorLog();
+    pollOperatorLog();
 }
 
 /** Called when the other nodes are known for the first time. */
@@ -112,6 +109,7 @@
                 scheduleRetry(m_pollTimer, m_pollRetryDelay, [this] { readOperatorState(); });
                 return;
             }
+            m_hasReadState = true;
             m_pollRetryDelay = m_policy.initialRetryDelay;
             recordTransfer("snapshot", state->document.size(), startedAt);
             if (m_controller.applyState(*state))
@@ -180,6 +178,11 @@
         });
         return;
     }
+    bool hasState = m_hasReadState || !m_controller.operators().document.empty();
+    if (!hasState) {
+        readOperatorState();
+        return;
+    }
     auto from = m_controller.operators().position;
     m_store.pollOperatorChanges(from, randomDuration(m_policy.minPollTimeout, m_policy.maxPollTimeout),
         [this, from, startedAt = now](tl::expected<operator_changes, store_failure> read) {
@@ -214,6 +217,7 @@
     m_store.announce(m_self, [this](tl::expected<std::monostate, store_failure> written) {
         updateStoreStatus(written.has_value(), "announce");
         if (!written) {
+            startFollowing();
             scheduleRetry(m_announceTimer, m_announceRetryDelay, [this] { announce(); });
             return;
         }
@@ -368,7 +372,7 @@
     update.fingerprint = m_controller.announcements().fingerprint();
     update.quarantined = m_quarantine.notices(m_hooks.clock().monotonic);
     update.contactAge
-        = isFollowingLog() ? duration::zero() : m_hooks.clock().monotonic - m_readerDuty.lastContact();
+        = isFollowingLog() ? duration::zero() : m_readerDuty.contactAge(m_hooks.clock().monotonic);
     update.announcements = { m_self };
     if (request && request->partFingerprints)
         update.announcements = m_controller.announcements().entriesThatDiffer(*request->partFingerprints);
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -36,10 +36,11 @@
     std::size_t remoteSpreadFanout = 1;
     duration gossipTimeout = std::chrono::milliseconds(800);
     gossip_partner_policy partners;
-    /** A node that is not a reader of the log gets its first operator state from a peer. It reads the state
-     * from the store itself if it has none after a time that is drawn from this range. */
-    duration minFirstReadDelay = std::chrono::milliseconds(300);
-    duration maxFirstReadDelay = std::chrono::milliseconds(600);
+    /** A starting node learns from the list of announcements whether it is a reader of the log. If the list
+     * has not come after a time that is drawn from this range, it goes by the nodes that it knows. The store
+     * appends the announcements of nodes that start together one at a time. */
+    duration minListWait = std::chrono::milliseconds(1500);
+    duration maxListWait = std::chrono::milliseconds(2500);
     /** A starting node does not ask peers for the whole document while the store may still send it. */
     duration firstReadTimeout = std::chrono::seconds(2);
     /** Between reads of all announcements by a node that knows no other. */
@@ -109,7 +110,7 @@
     std::vector<std::string> selectGossipPeers();
     std::vector<std::string> selectEndpoints(const std::vector<std::string>& candidates, std::size_t count);
     void mergeAnnouncements(const std::vector<instance_announcement>& updates);
-    bool isFollowingLog() const { return m_isPolling && !m_isStoreUnavailable; }
+    bool isFollowingLog() const { return m_isPolling && !m_isReadingState && !m_isStoreUnavailable; }
     void scheduleRetry(asio::steady_timer& timer, duration& delay, std::function<void()> operation);
     void updateStoreStatus(bool hasSucceeded, std::string_view call);
     void recordTransfer(std::string_view source, std::size_t bytes, instant startedAt);
@@ -146,6 +147,7 @@
     bool m_hasFirstReadFailed = false;
     bool m_hasStartedFollowing = false;
     bool m_hasReadAnnouncements = false;
+    bool m_hasReadState = false; ///< The whole operator state was read from the store once.
     bool m_isReadingState = false; ///< A read of the whole operator state from the store is pending.
     bool m_isPublicationScheduled = false;
     bool m_isPolling = false; ///< Reads the log itself, rather than learning of changes from peers.
--- a/test/proxy/fleet_growth.cpp
+++ b/test/proxy/fleet_growth.cpp
@@ -89,6 +89,29 @@
     CHECK(fleet.log.statesRead <= nodes / 2);
 }
 
+TEST_CASE("Nodes that start before the first configuration get it without a read of each")
+{
+    fleet_fixture fleet(nodes, document, false);
+    fleet.log.documents.clear();
+    for (const auto& each : fleet.members)
+        each->loop->start();
+    fleet.runFor(4s);
+    fleet.log.append(document);
+    CHECK(runUntil(fleet.context, [&] { return fleet.countAt(1) == nodes; }));
+    constexpr std::size_t maxReaders = 15;
+    CHECK(fleet.log.documentsRead <= maxReaders);
+    CHECK(fleet.log.statesRead <= nodes / 2);
+}
+
+TEST_CASE("A node that starts does not count as a contact to the readers of the log")
+{
+    log_reader_duty duty(node_id("n"), data_centre_id("z"), {}, instant {});
+    CHECK_FALSE(duty.contactAge(instant {} + 1s));
+    duty.recordContact(instant {} + 2s);
+    duty.recordContact(instant {} + 1s);
+    CHECK(duty.contactAge(instant {} + 5s) == 3s);
+}
+
 TEST_CASE("A node whose list of the others comes late follows the log once")
 {
     fleet_fixture fleet(1, document);
@@ -107,6 +130,7 @@
             [](const std::string&, const peer_message&, duration,
                 const std::function<void(std::optional<peer_message>)>& done) { done(std::nullopt); } });
     member.loop->start();
+    // No list comes, so the node goes by what it knows.
     REQUIRE(runUntil(fleet.context, [&] { return fleet.log.polls.size() == 1; }));
     REQUIRE(list);
     list(std::vector<instance_announcement> {});
