Keep trials of suspect backend servers to first attempts

The node that received the request allowed a trial in the first attempt only, but did not say so: the node beside the suspect server took any idempotent request as a trial. With 355 nodes the former seldom knows which of 120 servers are suspect, so second attempts ran into trials.

Requests now say whether they may be a trial. New test: an idempotent request in its last attempt is refused unrun by a suspect server whose trial is due; it ran before. Requests of nodes of earlier versions are treated as before.

--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -77,8 +77,7 @@
         return notRun(refusal_reason::noBackendServer, "the backend server has not announced itself");
     if (!m_healthCheck.isSuspect())
         return {};
-    bool mayBeTrial
-        = request.request.retryRule == retry_rule::idempotent || m_healthCheck.hasNoRecentFailure(now);
+    bool mayBeTrial = request.request.mayBeTrial || m_healthCheck.hasNoRecentFailure(now);
     request.m_isTrial = mayBeTrial && m_healthCheck.tryStartTrial(now);
     if (request.m_isTrial || m_healthCheck.accepts(request.request.suspectRule))
         return {};
--- a/packages/proxy/src/forwarded_request.cpp
+++ b/packages/proxy/src/forwarded_request.cpp
@@ -36,6 +36,7 @@
         { "once", request.retryRule == retry_rule::once ? "1" : "0" },
         { "nested", request.isNested ? "1" : "0" },
         { "repeat", request.isRetry ? "1" : "0" },
+        { "trial", request.mayBeTrial ? "1" : "0" },
         { "suspects", std::string(toText(request.suspectRule)) },
         { "time-left", timeFieldText(request.timeLeft) },
         { "patience", timeFieldText(request.maxQueueTime) },
@@ -58,6 +59,10 @@
     request.retryRule = message.value("once") == "0" ? retry_rule::idempotent : retry_rule::once;
     request.isNested = message.value("nested") == "1";
     request.isRetry = message.value("repeat") == "1";
+    // Nodes of earlier versions do not send the field; they let every request that may be repeated be a
+    // trial.
+    auto trial = message.value("trial");
+    request.mayBeTrial = trial.empty() ? request.retryRule == retry_rule::idempotent : trial == "1";
     request.suspectRule = suspectRuleFromText(message.value("suspects"));
     request.timeLeft = message.time("time-left");
     request.maxQueueTime = message.time("patience");
--- a/packages/proxy/src/forwarded_request.h
+++ b/packages/proxy/src/forwarded_request.h
@@ -25,6 +25,8 @@
     /** Another backend server has received the request before, or it is a nested call that is counted as part
      * of a retry. */
     bool isRetry = false;
+    /** Whether it may be the trial of a suspect backend server: if it fails, another one can be tried. */
+    bool mayBeTrial = false;
     suspect_rule suspectRule = suspect_rule::trialsOnly;
     duration timeLeft {}; ///< Time until the deadline of the sender.
     duration maxQueueTime {}; ///< Maximum wait for a slot; the request is refused if it would wait longer.
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -266,7 +266,10 @@
     }
 
     /** Whether the next attempt may be a trial of a suspect server: a failure can be retried elsewhere. */
-    bool mayBeTrial() const { return isIdempotent() && m_possibleRunCount == 0; }
+    bool mayBeTrial() const
+    {
+        return isIdempotent() && m_possibleRunCount == 0 && m_context.rule->maxAttempts > 1;
+    }
     bool mayAttemptAnother() const { return m_possibleRunCount < m_context.rule->maxAttempts; }
 
     selection_input selectionInput(const fleet_snapshot& snapshot, instant present) const
@@ -310,6 +313,7 @@
         request.retryRule = m_context.rule->retryRule;
         request.isNested = isNested();
         request.isRetry = m_isPartOfRetry || m_selector.hasReachedBackend();
+        request.mayBeTrial = mayBeTrial();
         request.suspectRule = selection.suspectRule;
         request.timeLeft = m_deadline - present;
         request.maxQueueTime = selection.maxQueueTime;
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -360,6 +360,20 @@
     CHECK(fixture.submit(lastResort).response);
 }
 
+TEST_CASE("The last attempt of a request is not the trial of a suspect server")
+{
+    gateway_fixture fixture("reset");
+    checkMayHaveRun(fixture.submit());
+    auto due = std::chrono::steady_clock::now() + passive_health_policy {}.trialInterval;
+    runUntil(fixture.context, [&] { return std::chrono::steady_clock::now() > due; });
+    fixture.backend.reply = gateway_fixture::good("r1");
+    auto lastAttempt = fixture.make(retry_rule::idempotent);
+    checkNotRun(fixture.submit(lastAttempt), refusal_reason::backendServerFailed);
+    auto firstAttempt = fixture.make(retry_rule::idempotent);
+    firstAttempt->request.mayBeTrial = true;
+    CHECK(fixture.submit(firstAttempt).response);
+}
+
 TEST_CASE("A server that fails nearly all requests gets trials only")
 {
     gateway_fixture fixture("reset");
--- a/test/proxy/peer_link.cpp
+++ b/test/proxy/peer_link.cpp
@@ -195,6 +195,11 @@
     CHECK(read->timeLeft == 1500ms);
     CHECK(read->fingerprint == request.fingerprint);
     CHECK(decodeRequestPayload(message.payload)->body == "body");
+    CHECK_FALSE(read->mayBeTrial);
+    request.retryRule = retry_rule::idempotent;
+    CHECK_FALSE(decodeForwardedFields(encodeForwardedRequest(request))->mayBeTrial);
+    request.mayBeTrial = true;
+    CHECK(decodeForwardedFields(encodeForwardedRequest(request))->mayBeTrial);
     CHECK_FALSE(decodeForwardedFields({}));
     CHECK_FALSE(decodeRequestPayload("cut"));
 
