Gossip with nodes of the own data centre mostly, and without the own announcement

Two of eight partners are in other data centres, and a node adds its announcement to messages for 10 s after its start and when it leaves; later the fingerprints of the tables show who lacks it.

--- a/packages/decisions/src/gossip_partners.cpp
+++ b/packages/decisions/src/gossip_partners.cpp
@@ -4,63 +4,84 @@
 
 namespace pomelohub {
 
-gossip_partners::gossip_partners(node_id self, gossip_partner_policy policy)
+namespace {
+
+    bool contains(const auto& endpoints, const std::string& endpoint)
+    {
+        return std::find(endpoints.begin(), endpoints.end(), endpoint) != endpoints.end();
+    }
+
+} // namespace
+
+gossip_partners::gossip_partners(node_id self, data_centre_id dataCentre, gossip_partner_policy policy)
     : m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
     , m_policy(policy)
 {
 }
 
 void gossip_partners::update(std::span<const instance_announcement> active)
 {
-    m_candidates.clear();
+    m_local.candidates.clear();
+    m_remote.candidates.clear();
     for (const auto& each : active) {
         if (each.node != m_self)
-            m_candidates.push_back(each.endpoint);
+            (each.dataCentre == m_dataCentre ? m_local : m_remote).candidates.push_back(each.endpoint);
+    }
+    for (auto* group : { &m_local, &m_remote }) {
+        std::erase_if(group->partners,
+            [&](const std::string& partner) { return !contains(group->candidates, partner); });
     }
-    std::erase_if(m_partners, [this](const std::string& partner) {
-        return std::find(m_candidates.begin(), m_candidates.end(), partner) == m_candidates.end();
-    });
 }
 
-bool gossip_partners::isPartner(const std::string& endpoint) const
+void gossip_partners::fillUp(group& group, std::size_t wanted, const choice_random_hook& random)
 {
-    return std::find(m_partners.begin(), m_partners.end(), endpoint) != m_partners.end();
+    while (group.partners.size() > wanted)
+        group.partners.pop_back();
+    while (group.partners.size() < wanted) {
+        auto at = static_cast<std::size_t>(random(group.candidates.size()));
+        while (contains(group.partners, group.candidates[at]))
+            at = (at + 1) % group.candidates.size();
+        group.partners.push_front(group.candidates[at]);
+    }
 }
 
-void gossip_partners::fillUp(const choice_random_hook& random)
+void gossip_partners::rotate(group& group)
 {
-    auto wanted = std::min(m_policy.partners, m_candidates.size());
-    while (m_partners.size() < wanted) {
-        auto at = static_cast<std::size_t>(random(m_candidates.size()));
-        while (isPartner(m_candidates[at]))
-            at = (at + 1) % m_candidates.size();
-        m_partners.push_front(m_candidates[at]);
-    }
+    if (group.candidates.size() > group.partners.size() && !group.partners.empty())
+        group.partners.pop_back();
 }
 
 std::vector<std::string> gossip_partners::next(
     std::size_t count, const choice_random_hook& random, instant now)
 {
-    bool hasOthers = m_candidates.size() > m_partners.size();
     if (now >= m_nextRotation) {
-        if (hasOthers && m_partners.size() == m_policy.partners)
-            m_partners.pop_back();
+        // Each group has its turn in proportion to its partners.
+        bool isRemoteTurn = partnerCount() > 0 && m_rotations++ % partnerCount() < m_remote.partners.size();
+        rotate(isRemoteTurn ? m_remote : m_local);
         m_nextRotation = now + m_policy.rotationInterval;
     }
-    fillUp(random);
+    auto remote = std::min(m_policy.remotePartners, m_remote.candidates.size());
+    auto local = std::min(m_policy.partners - remote, m_local.candidates.size());
+    remote = std::min(m_policy.partners - local, m_remote.candidates.size());
+    fillUp(m_local, local, random);
+    fillUp(m_remote, remote, random);
     std::vector<std::string> chosen;
-    for (count = std::min(count, m_partners.size()); chosen.size() < count;) {
-        chosen.push_back(m_partners.front());
-        m_partners.push_back(std::move(m_partners.front()));
-        m_partners.pop_front();
+    for (count = std::min(count, local + remote); chosen.size() < count; ++m_turn) {
+        auto& partners = (m_turn % (local + remote) < remote ? m_remote : m_local).partners;
+        chosen.push_back(partners.front());
+        partners.push_back(std::move(partners.front()));
+        partners.pop_front();
     }
     return chosen;
 }
 
 void gossip_partners::recordFailure(const std::string& endpoint)
 {
-    if (m_candidates.size() > m_policy.partners)
-        std::erase(m_partners, endpoint);
+    for (auto* group : { &m_local, &m_remote }) {
+        if (group->candidates.size() > group->partners.size())
+            std::erase(group->partners, endpoint);
+    }
 }
 
 } // namespace pomelohub
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -24,7 +24,7 @@
     , m_pollRetryDelay(policy.initialRetryDelay)
     , m_announceRetryDelay(policy.initialRetryDelay)
     , m_readerDuty(m_self.node, m_self.dataCentre, policy.logReaders, m_hooks.clock().monotonic)
-    , m_partners(m_self.node, policy.partners)
+    , m_partners(m_self.node, m_self.dataCentre, policy.partners)
 {
 }
 
@@ -373,7 +373,8 @@
     update.quarantined = m_quarantine.notices(m_hooks.clock().monotonic);
     update.contactAge
         = isFollowingLog() ? duration::zero() : m_readerDuty.contactAge(m_hooks.clock().monotonic);
-    update.announcements = { m_self };
+    if (m_hooks.clock().monotonic - m_startedAt < m_policy.introductionTime || m_self.hasLeft)
+        update.announcements = { m_self };
     if (request && request->partFingerprints)
         update.announcements = m_controller.announcements().entriesThatDiffer(*request->partFingerprints);
     else if (request && request->fingerprint != update.fingerprint)
--- a/test/proxy/control_fleet.h
+++ b/test/proxy/control_fleet.h
@@ -7,7 +7,6 @@
 #include "control_loop.h"
 #include "loopback.h"
 
-
 #include <random>
 
 namespace pomelohub {
@@ -118,6 +117,7 @@
         std::unique_ptr<control_loop> loop;
         std::set<std::size_t> contacted; ///< Members to which it has sent a message.
         std::size_t messagesReceived = 0;
+        std::size_t remoteBytesReceived = 0; ///< From nodes in other data centres.
         bool isCutOff = false;
     };
 
@@ -171,10 +171,13 @@
             }
             ++members[to]->messagesReceived;
             members[to]->bytesReceived += message.payload.size();
+            bool isRemote = announcementOf(from).dataCentre != announcementOf(to).dataCentre;
+            members[to]->remoteBytesReceived += isRemote ? message.payload.size() : 0;
             auto reply = members[to]->loop->handleGossip(message);
-            asio::post(context, [this, from, reply, done] {
+            asio::post(context, [this, from, reply, done, isRemote] {
                 auto bytes = reply ? reply->payload.size() : 0;
                 members[from]->bytesReceived += bytes;
+                members[from]->remoteBytesReceived += isRemote ? bytes : 0;
                 members[from]->largestReply = std::max(members[from]->largestReply, bytes);
                 done(reply);
             });
@@ -205,7 +208,7 @@
     {
         log.documentsRead = log.statesRead = log.listsRead = 0;
         for (const auto& each : members) {
-            each->bytesReceived = each->largestReply = each->messagesReceived = 0;
+            each->bytesReceived = each->largestReply = each->messagesReceived = each->remoteBytesReceived = 0;
             each->contacted.clear();
         }
     }
--- a/test/proxy/fleet_growth.cpp
+++ b/test/proxy/fleet_growth.cpp
@@ -139,6 +139,21 @@
     CHECK(fleet.log.statesRead == 1);
 }
 
+TEST_CASE("Nodes of a large fleet send little to other data centres while nothing changes")
+{
+    fleet_fixture fleet(nodes, document);
+    fleet.startAll();
+    fleet.resetCounts();
+    constexpr auto time = 4s;
+    fleet.runFor(time);
+    std::size_t bytes = 0;
+    for (const auto& each : fleet.members)
+        bytes += each->remoteBytesReceived;
+    // A twentieth of the 6 KB a second that a node may spend for control.
+    constexpr std::size_t maxBytesPerSecond = 300;
+    CHECK(bytes / nodes <= maxBytesPerSecond * static_cast<std::size_t>(time.count()));
+}
+
 TEST_CASE("A partner that does not answer is replaced, and the others change slowly")
 {
     std::vector<instance_announcement> active;
@@ -147,13 +162,17 @@
     std::mt19937_64 generator { 20261205 };
     auto random = [&](std::uint64_t below) { return generator() % below; };
     gossip_partner_policy policy;
-    gossip_partners partners(active[0].node, policy);
+    gossip_partners partners(active[0].node, active[0].dataCentre, policy);
     partners.update(active);
     instant now {};
     auto all = partners.next(policy.partners, random, now);
     std::set<std::string> first(all.begin(), all.end());
     CHECK(first.size() == policy.partners);
     CHECK_FALSE(first.contains(active[0].endpoint));
+    std::size_t remote = 0;
+    for (const auto& each : active)
+        remote += first.contains(each.endpoint) && each.dataCentre != active[0].dataCentre ? 1 : 0;
+    CHECK(remote == policy.remotePartners);
     partners.recordFailure(all[0]);
     auto next = partners.next(policy.partners, random, now);
     std::set<std::string> second(next.begin(), next.end());
