Offer trials of suspect backend servers by the size of the fleet

Cause: an idempotent request goes first to any suspect server whose trial is due, and each node held a trial for due 200 ms after a refusal. The server takes one trial in 0.6 s from the whole fleet, so with 355 nodes nearly all of these offers were refused.

The time until a node offers a trial now grows with the number of nodes, so that about eight offers come in an interval at any size, and a suspicion that has expired makes the server a candidate like the others instead of the first. Requests of nodes that do not know of the suspicion are trials as before.

--- a/packages/decisions/src/peer_choice.cpp
+++ b/packages/decisions/src/peer_choice.cpp
@@ -1,5 +1,7 @@
 #include "peer_choice.h"
 
+#include "passive_health_check.h"
+
 #include <algorithm>
 
 namespace pomelohub {
@@ -19,8 +21,8 @@
         bool mayBeTrial = request.mayTrySuspects && peer.isSuspect() && !peer.isAvoided(now);
         if (!mayBeTrial || evacuated.contains(announced.dataCentre))
             return false;
-        return request.retryRule == retry_rule::idempotent ? peer.isTrialDue(now)
-                                                           : peer.isSuspicionExpired(now);
+        bool isDue = request.retryRule == retry_rule::idempotent && peer.isTrialDue(now);
+        return isDue || peer.isSuspicionExpired(now);
     }
 
     struct candidate {
@@ -45,6 +47,18 @@
         && !peer.isUnresponsive.load(std::memory_order_relaxed) && !peer.isSuspect();
 }
 
+duration suspectTrialDelay(std::size_t nodes, const choice_random_hook& random)
+{
+    constexpr duration minDelay = std::chrono::milliseconds(200);
+    /** Offers of all nodes in an interval between trials; most come while no trial is due. */
+    constexpr double offersPerInterval = 8;
+    constexpr std::uint64_t resolution = 1024;
+    auto mean
+        = scaled(passive_health_policy {}.trialInterval, static_cast<double>(nodes) / offersPerInterval);
+    auto jitterFactor = 0.5 + static_cast<double>(random(resolution)) / resolution;
+    return std::max(minDelay, scaled(mean, jitterFactor));
+}
+
 handle<peer_state> choosePeer(std::span<const handle<peer_state>> candidates,
     const std::set<data_centre_id>& evacuated, const peer_choice_request& request,
     const peer_choice_policy& policy, const choice_random_hook& random, instant now)
@@ -59,7 +73,7 @@
         // Only requests that can be retried are sent to a suspect server in preference to others.
         bool isTrial = request.retryRule == retry_rule::idempotent && request.mayTrySuspects
             && !request.includeUnhealthy;
-        if (isTrial && peer->isTrialDue(now))
+        if (isTrial && peer->isTrialDue(now) && !peer->isSuspicionExpired(now))
             return peer;
         compared.push_back({ &peer, peer->meanLatency(now) });
     }
@@ -72,9 +86,12 @@
         const auto& peer = *candidatePeer;
         auto mean = reportedMean <= scaled(typicalMean, policy.slowFactor) ? typicalMean : reportedMean;
         auto jitterFactor = 1 + policy.jitter * static_cast<double>(random(jitterSteps)) / jitterSteps;
-        // The failure ratio counts for suspect servers only: a few failures of others are not significant.
-        auto successRatio
-            = peer->isSuspect() ? std::max(1 - peer->failureRatio(), policy.minSuccessRatio) : 1;
+        // The failure ratio counts for suspect servers only: a few failures of others are not significant. It
+        // is too old to keep away a request that can be retried once the suspicion has expired.
+        bool isOutdated = request.retryRule == retry_rule::idempotent && peer->isSuspicionExpired(now);
+        auto successRatio = peer->isSuspect() && !isOutdated
+            ? std::max(1 - peer->failureRatio(), policy.minSuccessRatio)
+            : 1;
         auto cost = scaled(peer->estimatedResponseTime(mean, now), jitterFactor / successRatio);
         if (peer->announcement.dataCentre != request.ownDataCentre)
             cost += policy.crossDataCentrePenalty;
--- a/packages/decisions/src/peer_choice.h
+++ b/packages/decisions/src/peer_choice.h
@@ -41,9 +41,16 @@
  * thread. */
 bool isHealthyPeer(const peer_state& peer, const std::set<data_centre_id>& evacuated, instant now);
 
+/** Time until this node, one of \p nodes, offers a trial to a server that has refused a request as suspect.
+ * The server takes one trial in an interval from all nodes together, and requests of nodes that do not know
+ * of the suspicion come in any case, so that of a large fleet no node needs to offer one. */
+duration suspectTrialDelay(std::size_t nodes, const choice_random_hook& random);
+
 /** Selects the candidate with the lowest estimated response time, adjusted for failures and for the data
- * centre; a suspect server that is due for a trial goes first if the request may be one. \return null when no
- * candidate is eligible. Thread safety: any thread. */
+ * centre; a
+ * suspect server that is due for a trial goes first if the request may be one, until its suspicion has
+ * expired, from when it is a candidate like the others. \return null when no candidate is eligible. Thread
+ * safety: any thread. */
 handle<peer_state> choosePeer(std::span<const handle<peer_state>> candidates,
     const std::set<data_centre_id>& evacuated, const peer_choice_request& request,
     const peer_choice_policy& policy, const choice_random_hook& random, instant now);
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -351,7 +351,9 @@
             && reply.response.error().reason == refusal_reason::backendServerFailed
             && !reply.hasReachedBackend;
         if (isSuspicion)
-            peer->markSuspect(present + reply.avoidFor, present);
+            peer->markSuspect(
+                present + std::max(reply.avoidFor, suspectTrialDelay(nodeCount(), m_router.m_hooks.random)),
+                present);
         else if (reply.avoidFor > duration::zero())
             peer->avoidUntil(present + reply.avoidFor);
         if (reply.hasReachedBackend)
--- a/test/proxy/peer_choice.cpp
+++ b/test/proxy/peer_choice.cpp
@@ -2,6 +2,7 @@
  * Which node gets a request.
  */
 #include "peer_choice.h"
+#include "passive_health_check.h"
 
 #include <doctest/doctest.h>
 
@@ -172,3 +173,34 @@
     CHECK(fixture.choose(retry_rule::idempotent, false, start + 200ms) == "a");
     CHECK(fixture.choose(retry_rule::once, false, start + 200ms) == "b");
 }
+
+TEST_CASE("The nodes of a fleet of any size offer a suspect server a few trials in each interval")
+{
+    choice_fixture fixture;
+    choice_random_hook random = [&](std::uint64_t below) {
+        fixture.seed = fixture.seed * 6364136223846793005ULL + 1442695040888963407ULL;
+        return (fixture.seed >> 33) % below;
+    };
+    for (std::size_t nodes : { 3U, 21U, 90U, 355U, 2100U }) {
+        double offersPerSecond = 0;
+        for (std::size_t i = 0; i < nodes; ++i)
+            offersPerSecond += 1 / std::chrono::duration<double>(suspectTrialDelay(nodes, random)).count();
+        auto perInterval
+            = offersPerSecond * std::chrono::duration<double>(passive_health_policy {}.trialInterval).count();
+        CHECK(perInterval >= 1);
+        CHECK(perInterval <= 12);
+    }
+}
+
+TEST_CASE("A server whose suspicion has expired is chosen like the others, and not first")
+{
+    choice_fixture fixture;
+    fixture.peers[0]->applyReport({ 0, 0, 4, 200ms, 0.9, false, true }, start);
+    fixture.peers[0]->markSuspect(start + 1s, start);
+    CHECK(fixture.choose(retry_rule::idempotent, false, start + 1s) == "a");
+    std::map<std::string, int> count;
+    for (int i = 0; i < 200; ++i)
+        ++count[fixture.choose(retry_rule::idempotent, false, start + 5s)];
+    CHECK(count["a"] > 40);
+    CHECK(count["b"] > 40);
+}
