--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -38,7 +38,7 @@
     gossip_partner_policy partners;
     /** For this long after its start, and when it leaves, a node adds its announcement to each message. Later
      * the fingerprints of the tables show who lacks it. */
-    duration introductionTime = std::chrono::seconds(10);
+    duration introductionTime = std::chrono::seconds(3);
     /** A starting node learns from the list of announcements whether it is a reader of the log. If the list
      * has not come after a time that is drawn from this range, it goes by the nodes that it knows. The store
      * appends the announcements of nodes that start together one at a time. */
