Do not take slow requests and failed nested calls for failures of a backend server

- A request was stuck after 1.2 s or six times the mean of all requests of the server.
The short nested calls made that mean small, so that requests of callers that took 1.2 s (the 90th percentile) were stuck.
- A backend server answers 500 if a call that it made fails.
Such answers made servers suspect that work, and with a service that fails, those that call it.
The node beside a server sees its calls; each that has failed now excuses one failure of a request that ran at the time.
- After a trial that was served the next one need not wait for the interval.

The tests that are added fail without these changes: they need the new members.

--- a/packages/decisions/src/passive_health_check.cpp
+++ b/packages/decisions/src/passive_health_check.cpp
@@ -75,8 +75,12 @@
             return false;
         }
         // The outcome of a request that was sent earlier does not show that the server has recovered since.
-        if (startedAt < m_suspectSince || ++m_successesInRow < m_successesToClear)
+        if (startedAt < m_suspectSince)
             return false;
+        if (++m_successesInRow < m_successesToClear) {
+            m_nextTrialAt = now; // The interval spares requests of a server that still fails.
+            return false;
+        }
         m_isSuspect = false;
         m_failureScore = 0;
         return true;
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -38,6 +38,7 @@
     , m_policy(policy)
     , m_log(log)
     , m_hooks(std::move(hooks))
+    , m_stuckThreshold(policy.stuckThreshold)
     , m_queue(
           {},
           [this](const handle<queued_request>& request, instant now) {
@@ -137,6 +138,7 @@
     request.m_stage = gateway_request::stage::done;
     request.m_connection = nullptr;
     std::erase(m_activeRequests, self);
+    m_failedCalls = std::min(m_failedCalls, m_activeRequests.size());
     reply.report = report();
     auto hook = std::move(request.onReply);
     request.onReply = nullptr;
@@ -236,7 +238,12 @@
         return;
     }
     bool isFailure = response.status >= firstServerError;
-    recordOutcome(request, isFailure ? backend_outcome::failed : backend_outcome::served, now);
+    if (isFailure && m_failedCalls > 0)
+        --m_failedCalls;
+    else
+        recordOutcome(request, isFailure ? backend_outcome::failed : backend_outcome::served, now);
+    if (!isFailure)
+        m_stuckThreshold.record(request.request.isNested, now - request.m_startedAt);
     m_hooks.onResponse(request.request.fingerprint);
     m_queue.release(isFailure ? std::nullopt : std::optional(now - request.m_startedAt), now);
     forward_reply reply;
@@ -428,6 +435,11 @@
         m_identity.warmupEndsAt());
 }
 
+void backend_gateway::recordFailedCall()
+{
+    m_failedCalls = std::min(m_failedCalls + 1, m_activeRequests.size());
+}
+
 void backend_gateway::startDraining()
 {
     m_isDraining = true;
@@ -493,15 +505,13 @@
     auto now = m_hooks.clock().monotonic;
     m_nextCheck = instant::max();
     m_queue.dispatch(now);
-    auto stuckThreshold = std::max<duration>(
-        m_policy.minStuckAge, scaled(m_queue.meanLatency(), m_policy.stuckLatencyFactor));
     std::vector<handle<gateway_request>> expiredGrants;
     for (const auto& request : m_activeRequests) {
         auto age = now - request->m_startedAt;
         if (request->m_stage == gateway_request::stage::granted && age > m_policy.commitTimeout)
             expiredGrants.push_back(request);
         if (request->m_stage == gateway_request::stage::running && !request->m_isStuck
-            && age > stuckThreshold) {
+            && age > m_stuckThreshold.age(request->request.isNested)) {
             request->m_isStuck = true;
             recordOutcome(*request, backend_outcome::stuck, now);
         }
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -11,6 +11,7 @@
 #include "header_codec.h"
 #include "http_client.h"
 #include "passive_health_check.h"
+#include "stuck_threshold.h"
 
 #include <list>
 
@@ -57,9 +58,7 @@
     duration idleTimeoutMargin = std::chrono::seconds(1);
     /** Used when the server announces no idle timeout. */
     duration defaultIdleTimeout = std::chrono::seconds(4);
-    /** Minimum age of a request that counts as stuck. */
-    duration minStuckAge = std::chrono::milliseconds(1200);
-    double stuckLatencyFactor = 6; ///< A stuck request is also older than this multiple of the mean latency.
+    stuck_threshold_policy stuckThreshold;
     /** Requests interrupted within this time before a crash are reported as its possible cause. */
     duration crashWindow = std::chrono::seconds(3);
     /** Fraction of the warm-up rate that is used; the rest allows for clock differences. */
@@ -105,6 +104,10 @@
      * it concerned the current start of the server. */
     bool handleDeregistration(const backend_server_id& id, wall_time startedAt);
 
+    /** Notes that a nested call of the backend server has failed. The server then fails the request that it
+     * made the call for, which says nothing about the server itself. */
+    void recordFailedCall();
+
     /** Refuses the requests that wait and all new ones, because this node stops. */
     void startDraining();
 
@@ -163,6 +166,7 @@
     hooks m_hooks;
     backend_identity m_identity;
     passive_health_check m_healthCheck;
+    stuck_threshold m_stuckThreshold;
     admission_queue m_queue;
     std::vector<handle<gateway_request>> m_activeRequests; ///< Hold a slot: granted or running.
     std::list<idle_connection> m_idleConnections; ///< Most recently used first.
@@ -171,6 +175,8 @@
     std::atomic<double> m_retryShare { 0 };
     std::optional<double> m_requestLimit; ///< As last named by the backend server, in requests per second.
     instant m_nextCheck = instant::max(); ///< When the timer expires; max() if it is not set.
+    /** Nested calls that have failed and may explain a failure of a running request. */
+    std::size_t m_failedCalls = 0;
     bool m_isDraining = false;
 };
 
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -61,6 +61,7 @@
         }
         startTimer(now.monotonic);
         m_service = m_context.rule->nextService();
+        m_isAdmitted = true;
         acquireToken(now.monotonic);
     }
 
@@ -472,6 +473,8 @@
             { { "status", message.status }, { "took", elapsed }, { "attempts", m_attemptCount },
                 { "route", m_context.rule->name } });
         m_router.m_metrics.recordResponse(message.status, elapsed);
+        if (message.status >= firstServerError)
+            reportFailure();
         finish();
         m_responder->respond(std::move(message));
     }
@@ -491,10 +494,18 @@
                                                                      : 0 },
                 { "retry_after", refusal.retryAfter } });
         m_router.m_metrics.recordRefusal(refusal.reason, status);
+        reportFailure();
         finish();
         m_responder->respond(m_router.m_codec.makeRefusal(refusal, status));
     }
 
+    /** Reports a nested call that has failed, before the backend server that made it learns of it. */
+    void reportFailure()
+    {
+        if (m_isAdmitted && isNested())
+            m_router.m_hooks.onNestedCallFailed();
+    }
+
     /** Names of the nodes that have been sent the request and have not replied. */
     std::string pendingNodes() const
     {
@@ -540,6 +551,7 @@
     bool m_isPartOfRetry = false; ///< A nested call that is counted as part of a retry.
     bool m_isWaitingForTokens = false; ///< A request for tokens is pending.
     bool m_mayHaveRun = false;
+    bool m_isAdmitted = false; ///< It has passed the filters.
     bool m_isDone = false;
 };
 
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -166,6 +166,9 @@
                 m_dependencies.headerCodec, m_quarantine, each->forwarder, ingressPolicy, m_log, m_metrics,
                 ingress_router::hooks { m_clock, [this] { return m_controller.snapshot(); }, makeRandom(),
                     [this] { return m_responseDeadline.load(); }, [this] { return m_gateway->retryShare(); },
+                    [this] {
+                        asio::dispatch(m_workers.front()->context, [this] { m_gateway->recordFailedCall(); });
+                    },
                     [this, requester](const handle<const organisation_limits>& limits,
                         std::uint32_t requestedTokens, duration timeout,
                         std::function<void(std::optional<quota_grant>)> done) {
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -360,6 +360,38 @@
     CHECK(fixture.submit(lastResort).response);
 }
 
+TEST_CASE("Failures that follow from failed nested calls do not make a server suspect")
+{
+    auto failure = "HTTP/1.1 500 Error\r\nRequest-Id: r1\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+    gateway_fixture fixture("");
+    auto failOne = [&](bool hasFailedCall) {
+        std::optional<forward_reply> reply;
+        auto request = fixture.make();
+        request->onReply = [&](const forward_reply& each) { reply = each; };
+        auto before = fixture.backend.requests.size();
+        fixture.gateway.submit(request);
+        REQUIRE(runUntil(fixture.context, [&] { return fixture.backend.requests.size() == before + 1; }));
+        if (hasFailedCall)
+            fixture.gateway.recordFailedCall();
+        asio::write(fixture.backend.open.back()->socket, asio::buffer(std::string(failure)));
+        REQUIRE(runUntil(fixture.context, [&] { return reply.has_value(); }));
+        return reply->report.isSuspect;
+    };
+    for (int i = 0; i < 5; ++i)
+        CHECK_FALSE(failOne(true));
+    SUBCASE("a failure of its own counts")
+    {
+        CHECK_FALSE(failOne(false));
+        CHECK(failOne(false));
+    }
+    SUBCASE("a call that failed while nothing ran explains nothing")
+    {
+        fixture.gateway.recordFailedCall();
+        CHECK_FALSE(failOne(false));
+        CHECK(failOne(false));
+    }
+}
+
 TEST_CASE("The last attempt of a request is not the trial of a suspect server")
 {
     gateway_fixture fixture("reset");
--- a/test/proxy/outcome_judge.cpp
+++ b/test/proxy/outcome_judge.cpp
@@ -2,6 +2,7 @@
  * When a backend server becomes suspect, which requests it still gets, and when it is cleared.
  */
 #include "passive_health_check.h"
+#include "stuck_threshold.h"
 
 #include <doctest/doctest.h>
 
@@ -52,6 +53,34 @@
     CHECK(judge.tryStartTrial(start + 1400ms));
 }
 
+TEST_CASE("After a trial that was served the next one need not wait")
+{
+    passive_health_check judge;
+    judge.record(backend_outcome::broken, start, start);
+    REQUIRE(judge.tryStartTrial(start + 700ms));
+    judge.record(backend_outcome::served, start + 700ms, start + 750ms);
+    CHECK(judge.isSuspect());
+    CHECK(judge.tryStartTrial(start + 760ms));
+    judge.record(backend_outcome::broken, start + 760ms, start + 770ms);
+    CHECK_FALSE(judge.tryStartTrial(start + 780ms));
+}
+
+TEST_CASE("A request is stuck by the time that requests of its kind take")
+{
+    stuck_threshold threshold;
+    stuck_threshold_policy policy;
+    CHECK(threshold.age(false) == policy.initialAge);
+    for (int i = 0; i < 100; ++i) {
+        threshold.record(true, 150ms);
+        threshold.record(false, 800ms);
+    }
+    // Requests of callers that take twice the usual time are not stuck, however many short calls run beside
+    // them.
+    CHECK(threshold.age(false) > 1600ms);
+    CHECK(threshold.age(false) < 4s);
+    CHECK(threshold.age(true) == policy.minAge);
+}
+
 TEST_CASE("Requests served in a row clear a server; those from before the suspicion do not")
 {
     passive_health_check judge;
