Log runs that a backend server failed because its own call had failed

The line names the request and the server; without it, an on-call engineer sees a 500 that does not tell against the server and no reason why.

--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -238,10 +238,13 @@
         return;
     }
     bool isFailure = response.status >= firstServerError;
-    if (isFailure && m_failedCalls > 0)
+    if (isFailure && m_failedCalls > 0) {
         --m_failedCalls;
-    else
+        m_log.write(event_priority::failure, "run_failed_by_call", request.request.id,
+            { { "backend", request.m_backend.text() }, { "after", now - request.m_startedAt } });
+    } else {
         recordOutcome(request, isFailure ? backend_outcome::failed : backend_outcome::served, now);
+    }
     if (!isFailure)
         m_stuckThreshold.record(request.request.isNested, now - request.m_startedAt);
     m_hooks.onResponse(request.request.fingerprint);
