Take announcements that share an endpoint for one gossip partner

Found by reading: the choice of a partner looks for an endpoint that is none yet, and would not end if the candidates were fewer than their number said. The table of announcements keeps endpoints distinct today; the choice no longer relies on it. The test that is added would hang without the change. The doc comment of choosePeer() is set in order.

--- a/packages/decisions/src/gossip_partners.cpp
+++ b/packages/decisions/src/gossip_partners.cpp
@@ -29,6 +29,10 @@
             (each.dataCentre == m_dataCentre ? m_local : m_remote).candidates.push_back(each.endpoint);
     }
     for (auto* group : { &m_local, &m_remote }) {
+        // An endpoint that two announcements share is one node; fillUp() needs distinct candidates.
+        auto& candidates = group->candidates;
+        std::sort(candidates.begin(), candidates.end());
+        candidates.erase(std::unique(candidates.begin(), candidates.end()), candidates.end());
         std::erase_if(group->partners,
             [&](const std::string& partner) { return !contains(group->candidates, partner); });
     }
--- a/packages/decisions/src/peer_choice.h
+++ b/packages/decisions/src/peer_choice.h
@@ -47,10 +47,9 @@
 duration suspectTrialDelay(std::size_t nodes, const choice_random_hook& random);
 
 /** Selects the candidate with the lowest estimated response time, adjusted for failures and for the data
- * centre; a
- * suspect server that is due for a trial goes first if the request may be one, until its suspicion has
- * expired, from when it is a candidate like the others. \return null when no candidate is eligible. Thread
- * safety: any thread. */
+ * centre. A suspect server that is due for a trial goes first if the request may be one; once its suspicion
+ * has expired, it is a candidate like the others. \return null when no candidate is eligible. Thread safety:
+ * any thread. */
 handle<peer_state> choosePeer(std::span<const handle<peer_state>> candidates,
     const std::set<data_centre_id>& evacuated, const peer_choice_request& request,
     const peer_choice_policy& policy, const choice_random_hook& random, instant now);
--- a/test/proxy/fleet_growth.cpp
+++ b/test/proxy/fleet_growth.cpp
@@ -190,3 +190,17 @@
     partners.recordFailure(few[1].endpoint);
     CHECK(partners.next(policy.partners, random, now).size() == 3);
 }
+
+TEST_CASE("Announcements that share an endpoint are one partner")
+{
+    std::vector<instance_announcement> active(5, fleet_fixture::announcementOf(3));
+    for (std::size_t i = 0; i < active.size(); ++i)
+        active[i].node = node_id("same-" + std::to_string(i));
+    gossip_partners partners(node_id("self"), active[0].dataCentre, {});
+    partners.update(active);
+    CHECK(partners
+              .next(
+                  3, [](std::uint64_t) { return 0; }, instant {})
+              .size()
+        == 1);
+}
