--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -266,6 +266,7 @@
         chosen.push_back(at);
     }
     std::vector<std::string> endpoints;
+    endpoints.reserve(chosen.size());
     for (auto at : chosen)
         endpoints.push_back(candidates[at]);
     return endpoints;
