Build the view once for a list of nodes from the store

The list armed the timer of the next publication and was then published at once, so every node rebuilt its view, its order of readers and its lists of endpoints twice for each list that it read.

--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -230,7 +230,7 @@
     m_store.readAnnouncements([this](tl::expected<std::vector<instance_announcement>, store_failure> all) {
         updateStoreStatus(all.has_value(), "read_announcements");
         if (all) {
-            mergeAnnouncements(*all);
+            m_controller.recordAnnouncements(*all);
             updateMembers();
         }
         if (all && !std::exchange(m_hasReadAnnouncements, true))
