--- a/packages/decisions/src/crash_quarantine.cpp
+++ b/packages/decisions/src/crash_quarantine.cpp
@@ -81,13 +81,18 @@
     m_table.publish(next);
 }
 
-void crash_quarantine::addNotices(const std::vector<quarantine_notice>& notices, instant now)
+std::vector<request_fingerprint> crash_quarantine::addNotices(
+    const std::vector<quarantine_notice>& notices, instant now)
 {
+    std::vector<request_fingerprint> added;
     for (const auto& notice : notices) {
         auto left = std::min<duration>(notice.timeLeft, m_policy.quarantineDuration);
-        if (left > duration::zero() && !isQuarantined(notice.fingerprint, now))
+        if (left > duration::zero() && !isQuarantined(notice.fingerprint, now)) {
             setQuarantineEnd(notice.fingerprint, now + left);
+            added.push_back(notice.fingerprint);
+        }
     }
+    return added;
 }
 
 std::vector<quarantine_notice> crash_quarantine::notices(instant now)
--- a/packages/decisions/src/crash_quarantine.h
+++ b/packages/decisions/src/crash_quarantine.h
@@ -55,8 +55,10 @@
      * crashes them. */
     void recordResponse(request_fingerprint fingerprint);
 
-    /** Adds the quarantined fingerprints that another node sent. */
-    void addNotices(const std::vector<quarantine_notice>& notices, instant now);
+    /** Adds the quarantined fingerprints that another node sent. \return those that were not quarantined
+     * here.
+     */
+    std::vector<request_fingerprint> addNotices(const std::vector<quarantine_notice>& notices, instant now);
 
     /** Quarantined fingerprints to send to another node, in rotation when there are many. */
     std::vector<quarantine_notice> notices(instant now);
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -273,7 +273,7 @@
     if (failure == http_call_failure::notConnected) {
         // The connection was refused or timed out, so the server is assumed to have exited, and a running
         // request may have crashed it.
-        reportCrash(now);
+        reportCrash("connection_refused", now);
         m_identity.forget();
         m_queue.release(std::nullopt, now);
         refuse(request, refusal(refusal_reason::noBackendServer, "the backend server takes no connection"),
@@ -283,7 +283,7 @@
     bool isPastDeadline = now >= request.m_deadline;
     if (!isPastDeadline) {
         recordOutcome(request, backend_outcome::broken, now);
-        m_interruptedRequests.push_back({ request.request.fingerprint, now });
+        m_interruptedRequests.push_back({ request.request.id, request.request.fingerprint, now });
     }
     m_queue.release(std::nullopt, now); // After recordOutcome(), which may refuse the requests that wait.
     forward_reply reply;
@@ -300,8 +300,9 @@
     if (outcome != backend_outcome::served) {
         m_log.write(event_priority::failure, "run_failed", request.request.id,
             { { "backend", m_identity.isKnown() ? m_identity.current().id.text() : "" },
-                { "outcome", toText(outcome) }, { "after", now - request.m_startedAt },
-                { "trial", request.m_isTrial }, { "in_use", m_queue.inUse() },
+                { "fingerprint", request.request.fingerprint }, { "outcome", toText(outcome) },
+                { "after", now - request.m_startedAt }, { "trial", request.m_isTrial },
+                { "in_use", m_queue.inUse() },
                 { "failing_percent", static_cast<std::uint64_t>(m_healthCheck.failureRatio() * 100) } });
     }
     if (!m_healthCheck.record(outcome, request.m_startedAt, now))
@@ -316,14 +317,24 @@
             refusal(refusal_reason::backendServerFailed, "the backend server fails requests"), now);
 }
 
-void backend_gateway::reportCrash(instant now)
+void backend_gateway::reportCrash(std::string_view evidence, instant now)
 {
-    auto id = m_identity.isKnown() ? m_identity.current().id : backend_server_id();
-    for (const auto& each : m_interruptedRequests) {
+    backend_crash crash { m_identity.isKnown() ? m_identity.current().id : backend_server_id(), {} };
+    auto interrupted = std::exchange(m_interruptedRequests, {});
+    if (interrupted.empty())
+        return;
+    auto lastInterruption = interrupted.back().at;
+    for (auto& each : interrupted) {
         if (now - each.at < m_policy.crashWindow)
-            m_hooks.onCrash(each.fingerprint, id);
+            crash.requests.push_back(std::move(each));
     }
-    m_interruptedRequests.clear();
+    m_log.write(event_priority::always, "backend_crashed", {},
+        { { "backend", crash.backend.text() }, { "evidence", evidence },
+            { "requests", static_cast<std::uint64_t>(crash.requests.size()) },
+            { "interrupted", static_cast<std::uint64_t>(interrupted.size()) },
+            { "since_last", now - lastInterruption } });
+    if (!crash.requests.empty())
+        m_hooks.onCrash(crash);
 }
 
 void backend_gateway::cancel(gateway_request& request)
@@ -393,7 +404,7 @@
     if (effect == heartbeat_effect::stale)
         return effect;
     if (effect == heartbeat_effect::newStart) {
-        reportCrash(now);
+        reportCrash("new_start", now);
         m_healthCheck.reset();
         applyRequestLimit(std::nullopt, now);
         while (!m_idleConnections.empty()) {
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -49,6 +49,19 @@
     handle<http_client_connection> m_connection;
 };
 
+/** A request that got no complete response from a backend server. */
+struct interrupted_request {
+    request_id id;
+    request_fingerprint fingerprint = 0;
+    instant at {};
+};
+
+/** The crash of a backend server, with the requests that it interrupted. */
+struct backend_crash {
+    backend_server_id backend; ///< Empty if it was not known any more.
+    std::vector<interrupted_request> requests;
+};
+
 struct gateway_policy {
     /** How long a granted slot is held for the message of its offer. */
     duration commitTimeout = std::chrono::milliseconds(700);
@@ -71,8 +84,8 @@
     struct hooks {
         clock_hook clock;
         std::function<handle<const fleet_snapshot>()> snapshot;
-        /** The request got no complete response shortly before the backend server crashed. */
-        std::function<void(request_fingerprint, const backend_server_id&)> onCrash;
+        /** The backend server has crashed. Not called for a crash that interrupted no request. */
+        std::function<void(const backend_crash&)> onCrash;
         /** The backend server completed a response to the request. */
         std::function<void(request_fingerprint)> onResponse;
     };
@@ -125,10 +138,6 @@
     std::size_t activeCount() const { return m_activeCount; }
 
 private:
-    struct interrupted_request {
-        request_fingerprint fingerprint = 0;
-        instant at {};
-    };
     struct idle_connection {
         handle<http_client_connection> connection;
         instant until {};
@@ -146,7 +155,7 @@
     void recordOutcome(gateway_request& request, backend_outcome outcome, instant now);
     void applyRequestLimit(std::optional<double> perSecond, instant now);
     void handleLeaving(instant now);
-    void reportCrash(instant now);
+    void reportCrash(std::string_view evidence, instant now);
     handle<http_client_connection> acquireConnection(instant now);
     void poolConnection(const handle<http_client_connection>& connection, instant now);
     void applyWarmupLimit(instant now);
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -438,8 +438,9 @@
         m_log.write(event_priority::failure, "announcement_unreadable", {},
             { { "peer", update.from.text() },
                 { "count", static_cast<std::uint64_t>(update.unreadableAnnouncements) } });
-    if (!update.quarantined.empty())
-        m_quarantine.addNotices(update.quarantined, m_hooks.clock().monotonic);
+    for (auto fingerprint : m_quarantine.addNotices(update.quarantined, m_hooks.clock().monotonic))
+        m_log.write(event_priority::always, "quarantine_learned", {},
+            { { "fingerprint", fingerprint }, { "peer", update.from.text() } });
 }
 
 std::optional<peer_message> control_loop::handleGossip(const peer_message& request)
--- a/packages/proxy/src/ingress_filters.cpp
+++ b/packages/proxy/src/ingress_filters.cpp
@@ -56,7 +56,8 @@
                 context.message.method, context.message.target);
             if (!quarantine.isQuarantined(context.fingerprint, now.monotonic))
                 return {};
-            return notRun(refusal_reason::requestQuarantined, "it ended backend servers before");
+            return notRun(refusal_reason::requestQuarantined,
+                "backend servers crashed under it: " + std::to_string(context.fingerprint));
         });
     return chain;
 }
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -142,11 +142,15 @@
     m_gateway = std::make_unique<backend_gateway>(context, *backend, m_settings.service,
         m_settings.dataCentre, m_dependencies.headerCodec, gateway_policy {}, m_log,
         backend_gateway::hooks { m_clock, [this] { return m_controller.snapshot(); },
-            [this](request_fingerprint fingerprint, const backend_server_id& id) {
-                asio::post(m_control, [this, fingerprint, id] {
-                    bool isNew = m_quarantine.recordCrash(fingerprint, id, m_clock().monotonic);
-                    m_log.write(event_priority::always, isNew ? "request_quarantined" : "request_suspect", {},
-                        { { "fingerprint", fingerprint }, { "backend", id.text() } });
+            [this](const backend_crash& crash) {
+                asio::post(m_control, [this, crash] {
+                    for (const auto& each : crash.requests) {
+                        bool isQuarantined
+                            = m_quarantine.recordCrash(each.fingerprint, crash.backend, m_clock().monotonic);
+                        m_log.write(event_priority::always,
+                            isQuarantined ? "request_quarantined" : "request_suspect", each.id,
+                            { { "fingerprint", each.fingerprint }, { "backend", crash.backend.text() } });
+                    }
                 });
             },
             [this](request_fingerprint fingerprint) {
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -95,8 +95,9 @@
     backend_gateway gateway { context, backend.acceptor.local_endpoint(), service_id("a"),
         data_centre_id("z"), words, {}, quietLog(),
         { readSystemClock, [this] { return handle<const fleet_snapshot>(snapshot); },
-            [this](request_fingerprint fingerprint, const backend_server_id&) {
-                crashed.push_back(fingerprint);
+            [this](const backend_crash& crash) {
+                for (const auto& each : crash.requests)
+                    crashed.push_back(each.fingerprint);
             },
             [](request_fingerprint) {} } };
     std::uint64_t sequence = 0;
