--- /dev/null
+++ b/test/proxy/crash_evidence.cpp
@@ -0,0 +1,45 @@
+/** \file
+ * What the nodes of a fleet make of crashes that each of them sees in part.
+ */
+#include "control_fleet.h"
+
+using namespace pomelohub;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Within it of the second crash, every node in contact with the others refuses the request. */
+constexpr auto newsBound = 3s;
+
+void recordCrash(fleet_fixture& fleet, std::size_t node, request_fingerprint fingerprint)
+{
+    fleet.members[node]->quarantine.recordCrash(
+        fingerprint, backend_server_id("i-" + std::to_string(node)), std::chrono::steady_clock::now());
+}
+
+std::size_t countQuarantined(const fleet_fixture& fleet, request_fingerprint fingerprint)
+{
+    auto now = std::chrono::steady_clock::now();
+    return static_cast<std::size_t>(std::count_if(fleet.members.begin(), fleet.members.end(),
+        [&](const auto& each) { return each->quarantine.isQuarantined(fingerprint, now); }));
+}
+
+} // namespace
+
+TEST_CASE("Crashes beside different nodes add up to a quarantine at every node")
+{
+    constexpr std::size_t nodes = 21;
+    constexpr request_fingerprint crasher = 4711;
+    fleet_fixture fleet(nodes, "1");
+    fleet.startAll();
+    for (std::size_t node : { 3U, 11U }) {
+        recordCrash(fleet, node, crasher);
+        fleet.runFor(100ms);
+    }
+    auto secondCrash = std::chrono::steady_clock::now();
+    CHECK(runUntil(fleet.context, [&] {
+        return countQuarantined(fleet, crasher) == nodes
+            || std::chrono::steady_clock::now() - secondCrash > newsBound;
+    }));
+    CHECK(countQuarantined(fleet, crasher) == nodes);
+}
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -21,6 +21,7 @@
     using std::chrono::milliseconds;
 
     constexpr auto heartbeatInterval = milliseconds(200);
+    constexpr auto restartTime = milliseconds(500); ///< From a crash to the next start.
     constexpr auto waitBound = std::chrono::seconds(20); ///< Bounds a test that fails.
 
     http_server_limits serverLimits()
@@ -182,6 +183,10 @@
 
 void standin_backend::serve(const http_message& request, const handle<http_responder>& responder)
 {
+    if (m_isDown) {
+        responder->abort();
+        return;
+    }
     auto text = [&](const char* name) { return std::string(request.field(name).value_or("")); };
     if (text("Expect-Instance") != m_id) {
         auto answer = makeResponse(421, "");
@@ -192,6 +197,11 @@
     }
     m_runs.add({ text("Request-Id"), request.target, m_service, m_id, text("Tenant-Id"),
         text("Caller-Service"), request.hasField("Authorization"), std::chrono::steady_clock::now() });
+    if (request.target.ends_with("/crash")) {
+        responder->abort();
+        crash();
+        return;
+    }
     auto status = request.target.ends_with("/fail") ? 500 : 200;
     auto answer = makeResponse(status, "done by " + m_service, "text/plain");
     answer.fields.push_back({ "Request-Id", text("Request-Id") });
@@ -199,6 +209,21 @@
     responder->respond(std::move(answer));
 }
 
+void standin_backend::crash()
+{
+    m_isDown = true;
+    m_timer.expires_after(restartTime);
+    m_timer.async_wait([this](std::error_code error) {
+        if (error)
+            return;
+        m_isDown = false;
+        ++m_starts;
+        m_id += "r";
+        m_sequence = 0;
+        beat();
+    });
+}
+
 void standin_backend::announceTo(const tcp::endpoint& control)
 {
     m_control = control;
@@ -218,7 +243,7 @@
     bool saysDraining = m_isDraining;
     nlohmann::json body { { "service", m_service }, { "address", endpoint() }, { "zone", "z" },
         { "slots", 4 }, { "version", "v1" }, { "state", saysDraining ? "draining" : "ready" },
-        { "warmup_left_s", 0 }, { "seq", ++m_sequence }, { "born", 1000 } };
+        { "warmup_left_s", 0 }, { "seq", ++m_sequence }, { "born", 1000 * m_starts } };
     http_message request;
     request.method = "POST";
     request.target = "/-/rpc?call=instances.heartbeat&of=" + m_id;
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -81,7 +81,9 @@
     std::vector<standin_run> m_runs;
 };
 
-/** A backend server with its heartbeats. Paths that end in "/fail" get its failure. */
+/** A backend server with its heartbeats. Paths that end in "/fail" get its failure. A request whose path ends
+ * in
+ * "/crash" crashes it; it starts again under another id. */
 class standin_backend {
 public:
     standin_backend(asio::io_context& context, std::string service, std::string id, run_record& runs);
@@ -97,12 +99,15 @@
 private:
     void serve(const http_message& request, const handle<http_responder>& responder);
     void beat();
+    void crash();
 
     asio::io_context& m_context;
     http_server m_server;
     tcp::endpoint m_address;
     std::string m_service;
     std::string m_id;
+    int m_starts = 1;
+    bool m_isDown = false;
     run_record& m_runs;
     asio::steady_timer m_timer;
     tcp::endpoint m_control;
