Add up the crashes that different nodes see, so that a request is refused after two

Cause: a node counted the crashes of the one server place beside it and passed on finished quarantines only. Four servers had ended beside four nodes within 1.1 s, and each node knew of one crash; the first quarantine came when a place had crashed for the second time, 4.7 s later.

Now nodes exchange crashes and answers, and each decides from the union. News travels with each message for 3 s, to four peers at once, and with the evidence of quarantines for as long as they last.

--- a/packages/decisions/src/crash_quarantine.cpp
+++ b/packages/decisions/src/crash_quarantine.cpp
@@ -8,15 +8,25 @@
 
 using std::chrono::milliseconds;
 
-request_fingerprint fingerprintOf(
-    std::string_view organisation, std::string_view service, std::string_view method, std::string_view target)
+namespace {
+
+    std::uint64_t crashIdOf(const crashed_run& run)
+    {
+        return stableHash(
+            run.backend.text(), static_cast<std::uint64_t>(run.backendStartedAt.time_since_epoch().count()));
+    }
+
+} // namespace
+
+request_fingerprint fingerprintOf(const request_identity& request)
 {
     std::string text;
-    for (auto part : { organisation, service, method, target }) {
+    for (auto part :
+        { request.organisation, request.service, request.method, request.target, request.host }) {
         text += part;
         text += '\n';
     }
-    return stableHash(text);
+    return stableHash(request.body, stableHash(text));
 }
 
 crash_quarantine::crash_quarantine(quarantine_policy policy)
@@ -45,86 +55,216 @@
         [&](const quarantine_table* table) { return table && table->until.contains(fingerprint); });
 }
 
-bool crash_quarantine::recordCrash(
-    request_fingerprint fingerprint, const backend_server_id& backend, instant now)
+bool crash_quarantine::noteResponse(request_fingerprint fingerprint, instant now)
 {
-    if (m_suspects.size() >= m_policy.maxSuspects)
-        removeExpired(now);
-    if (m_suspects.size() >= m_policy.maxSuspects)
-        return false;
-    auto& known = m_suspects[fingerprint];
-    if (now - known.lastCrash > m_policy.quarantineDuration)
-        known.crashed.clear();
-    known.lastCrash = now;
-    known.crashed.insert(backend);
-    bool isQuarantinedNow = known.crashed.size() >= m_policy.minCrashedServers;
-    setQuarantineEnd(fingerprint, isQuarantinedNow ? now + m_policy.quarantineDuration : now);
-    return isQuarantinedNow;
+    m_responses.record(fingerprint, now);
+    return isSuspect(fingerprint);
 }
 
-void crash_quarantine::recordResponse(request_fingerprint fingerprint)
+quarantine_changes crash_quarantine::recordCrash(const crashed_run& run, instant now)
 {
-    m_suspects.erase(fingerprint);
-    auto table = m_table.load();
-    if (!table || !table->until.contains(fingerprint))
-        return;
-    handle<quarantine_table> next(new quarantine_table(*table));
-    next->until.erase(fingerprint);
-    m_table.publish(next);
+    auto* suspect = findOrAdd(run.fingerprint);
+    crash added { crashIdOf(run), run.startedAt, run.crashedAt };
+    if (!suspect || !addCrash(run.fingerprint, *suspect, added, now))
+        return {};
+    addNews(run.fingerprint, now);
+    return publish(now);
 }
 
-void crash_quarantine::setQuarantineEnd(request_fingerprint fingerprint, instant until)
+quarantine_changes crash_quarantine::recordResponse(request_fingerprint fingerprint, instant now)
 {
-    auto current = m_table.load();
-    handle<quarantine_table> next(current ? new quarantine_table(*current) : new quarantine_table);
-    next->until[fingerprint] = until;
-    m_table.publish(next);
+    auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end() || found->second.crashes.empty())
+        return {};
+    found->second.answeredAt = now;
+    found->second.crashes.clear();
+    addNews(fingerprint, now);
+    return publish(now);
+}
+
+/** \return null if there are too many suspects. */
+crash_quarantine::suspect* crash_quarantine::findOrAdd(request_fingerprint fingerprint)
+{
+    auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end())
+        return &found->second;
+    return m_suspects.size() < m_policy.maxSuspects ? &m_suspects[fingerprint] : nullptr;
+}
+
+/** \return whether crashes that counted were earlier. */
+bool crash_quarantine::recordAnswer(suspect& suspect, instant answeredAt)
+{
+    suspect.answeredAt = std::max(suspect.answeredAt, answeredAt);
+    return std::erase_if(suspect.crashes, [&](const crash& each) {
+        return each.crashedAt < suspect.answeredAt;
+    }) > 0;
+}
+
+/** \return whether that is news: the crash counts and was not known as accurately, or this node knows of a
+ * later answer. */
+bool crash_quarantine::addCrash(
+    request_fingerprint fingerprint, suspect& suspect, const crash& added, instant now)
+{
+    auto known = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
+        [&](const crash& each) { return each.id == added.id; });
+    if (known != suspect.crashes.end()) {
+        // The report that was under way for the shortest time is the most accurate.
+        bool isMoreAccurate = added.crashedAt + m_policy.maxClockError < known->crashedAt;
+        if (isMoreAccurate)
+            *known = added;
+        return isMoreAccurate;
+    }
+    bool isNews = false;
+    if (auto answeredAt = m_responses.lastResponse(fingerprint, now);
+        answeredAt && *answeredAt > added.crashedAt && *answeredAt > suspect.answeredAt) {
+        recordAnswer(suspect, *answeredAt);
+        isNews = true;
+    }
+    if (added.crashedAt < suspect.answeredAt || suspect.crashes.size() >= m_policy.maxCrashesPerSuspect)
+        return isNews;
+    suspect.crashes.push_back(added);
+    return true;
 }
 
-std::vector<request_fingerprint> crash_quarantine::addNotices(
-    const std::vector<quarantine_notice>& notices, instant now)
+void crash_quarantine::addNews(request_fingerprint fingerprint, instant now)
 {
-    std::vector<request_fingerprint> added;
+    std::erase_if(m_news, [&](const news& each) { return each.fingerprint == fingerprint; });
+    m_news.push_back({ fingerprint, now });
+}
+
+quarantine_changes crash_quarantine::addNotices(const std::vector<crash_notice>& notices, instant now)
+{
+    auto isValid = [&](milliseconds time) {
+        return time >= milliseconds::zero() && time < m_policy.quarantineDuration;
+    };
+    bool isChanged = false;
     for (const auto& notice : notices) {
-        auto left = std::min<duration>(notice.timeLeft, m_policy.quarantineDuration);
-        if (left > duration::zero() && !isQuarantined(notice.fingerprint, now)) {
-            setQuarantineEnd(notice.fingerprint, now + left);
-            added.push_back(notice.fingerprint);
+        auto* suspect = findOrAdd(notice.fingerprint);
+        if (!suspect)
+            break;
+        bool isNews = false;
+        if (notice.answerAge && isValid(*notice.answerAge)) {
+            auto answeredAt = now - *notice.answerAge;
+            bool isNewer = suspect->answeredAt == instant::min()
+                || answeredAt - suspect->answeredAt > m_policy.minAnswerAdvance;
+            isNews = isNewer && recordAnswer(*suspect, answeredAt);
+        }
+        for (const auto& each : notice.crashes) {
+            if (!isValid(each.age) || !isValid(each.runTime))
+                continue;
+            auto crashedAt = now - each.age;
+            isNews = addCrash(
+                         notice.fingerprint, *suspect, { each.id, crashedAt - each.runTime, crashedAt }, now)
+                || isNews;
         }
+        if (isNews)
+            addNews(notice.fingerprint, now);
+        isChanged = isChanged || isNews;
     }
-    return added;
+    return isChanged ? publish(now) : quarantine_changes {};
 }
 
-std::vector<quarantine_notice> crash_quarantine::notices(instant now)
+crash_notice crash_quarantine::noticeOf(request_fingerprint fingerprint, instant now) const
 {
-    std::vector<quarantine_notice> all;
-    auto table = m_table.load();
-    if (!table)
-        return all;
-    for (const auto& [fingerprint, until] : table->until) {
-        if (until > now)
-            all.push_back({ fingerprint, std::chrono::duration_cast<milliseconds>(until - now) });
+    const auto& suspect = m_suspects.at(fingerprint);
+    crash_notice notice;
+    notice.fingerprint = fingerprint;
+    if (suspect.answeredAt != instant::min())
+        notice.answerAge = std::chrono::duration_cast<milliseconds>(now - suspect.answeredAt);
+    for (const auto& each : suspect.crashes)
+        notice.crashes.push_back(
+            { each.id, std::chrono::duration_cast<milliseconds>(each.crashedAt - each.startedAt),
+                std::chrono::duration_cast<milliseconds>(now - each.crashedAt) });
+    return notice;
+}
+
+std::vector<crash_notice> crash_quarantine::notices(instant now)
+{
+    std::vector<crash_notice> selected;
+    while (!m_news.empty() && now - m_news.front().learnedAt > m_policy.newsLifetime)
+        m_news.pop_front();
+    for (std::size_t i = 0; i < std::min(m_news.size(), m_policy.maxNewsPerMessage); ++i) {
+        auto fingerprint = m_news[m_nextNews++ % m_news.size()].fingerprint;
+        if (m_suspects.contains(fingerprint))
+            selected.push_back(noticeOf(fingerprint, now));
+    }
+    std::vector<request_fingerprint> quarantined;
+    if (auto table = m_table.load()) {
+        for (const auto& [fingerprint, until] : table->until) {
+            if (until > now)
+                quarantined.push_back(fingerprint);
+        }
     }
-    if (all.size() <= m_policy.maxNoticesPerMessage)
-        return all;
-    std::vector<quarantine_notice> selected;
-    for (std::size_t i = 0; i < m_policy.maxNoticesPerMessage; ++i)
-        selected.push_back(all[m_nextNotice++ % all.size()]);
+    for (std::size_t i = 0; i < std::min(quarantined.size(), m_policy.maxNoticesPerMessage); ++i)
+        selected.push_back(noticeOf(quarantined[m_nextNotice++ % quarantined.size()], now));
     return selected;
 }
 
-void crash_quarantine::removeExpired(instant now)
+void crash_quarantine::removeOld(instant now)
 {
+    auto isOld = [&](instant at) { return at == instant::min() || now - at >= m_policy.quarantineDuration; };
+    for (auto& [fingerprint, suspect] : m_suspects)
+        std::erase_if(suspect.crashes, [&](const crash& each) { return isOld(each.crashedAt); });
     std::erase_if(m_suspects,
-        [&](const auto& entry) { return now - entry.second.lastCrash > m_policy.quarantineDuration; });
-    auto table = m_table.load();
-    if (!table)
-        return;
-    handle<quarantine_table> next(new quarantine_table(*table));
-    std::erase_if(next->until,
-        [&](const auto& entry) { return entry.second <= now && !m_suspects.contains(entry.first); });
-    if (next->until.size() < table->until.size())
+        [&](const auto& entry) { return entry.second.crashes.empty() && isOld(entry.second.answeredAt); });
+}
+
+void crash_quarantine::removeExpired(instant now) { publish(now); }
+
+/** \param mostCrashes for each crash, the largest number of crashes that one of its requests was in. \return
+ * instant::min() if it is suspect only. */
+instant crash_quarantine::quarantineEnd(
+    const suspect& suspect, const std::unordered_map<std::uint64_t, std::size_t>& mostCrashes) const
+{
+    std::size_t counted = 0;
+    auto firstCrash = instant::max();
+    auto lastCrash = instant::min();
+    auto lastStart = instant::min();
+    for (const auto& each : suspect.crashes) {
+        if (mostCrashes.at(each.id) > suspect.crashes.size())
+            continue;
+        ++counted;
+        firstCrash = std::min(firstCrash, each.crashedAt);
+        lastCrash = std::max(lastCrash, each.crashedAt);
+        lastStart = std::max(lastStart, each.startedAt);
+    }
+    if (counted < m_policy.minCrashedServers || lastStart + m_policy.maxClockError < firstCrash)
+        return instant::min();
+    return lastCrash + m_policy.quarantineDuration;
+}
+
+/** Decides anew and publishes the decisions. */
+quarantine_changes crash_quarantine::publish(instant now)
+{
+    removeOld(now);
+    std::unordered_map<std::uint64_t, std::size_t> mostCrashes;
+    for (const auto& [fingerprint, suspect] : m_suspects) {
+        for (const auto& each : suspect.crashes) {
+            auto& most = mostCrashes[each.id];
+            most = std::max(most, suspect.crashes.size());
+        }
+    }
+    handle<quarantine_table> next(new quarantine_table);
+    for (const auto& [fingerprint, suspect] : m_suspects) {
+        if (!suspect.crashes.empty())
+            next->until[fingerprint] = quarantineEnd(suspect, mostCrashes);
+    }
+    quarantine_changes changes;
+    for (const auto& [fingerprint, until] : next->until) {
+        if (until > now && !isQuarantined(fingerprint, now))
+            changes.quarantined.push_back(fingerprint);
+    }
+    auto current = m_table.load();
+    if (current) {
+        for (const auto& [fingerprint, until] : current->until) {
+            auto found = next->until.find(fingerprint);
+            if (until > now && (found == next->until.end() || found->second <= now))
+                changes.lifted.push_back(fingerprint);
+        }
+    }
+    if (!current || current->until != next->until)
         m_table.publish(next);
+    return changes;
 }
 
 } // namespace pomelohub
--- a/packages/decisions/src/membership.h
+++ b/packages/decisions/src/membership.h
@@ -79,7 +79,7 @@
     log_cursors cursors;
     std::uint64_t viewDigest = 0; ///< Equal if two nodes have the same member records.
     std::vector<member_record> updates; ///< Piggybacked membership updates.
-    std::vector<quarantine_notice> quarantined;
+    std::vector<crash_notice> crashes;
 };
 
 /** A datagram and the endpoint to send it to. */
--- a/packages/messages/src/node_messages.cpp
+++ b/packages/messages/src/node_messages.cpp
@@ -91,19 +91,32 @@
         return members;
     }
 
-    json toArray(const std::vector<quarantine_notice>& notices)
+    json toArray(const std::vector<crash_notice>& notices)
     {
         auto result = json::array();
-        for (const auto& notice : notices)
-            result.push_back(json::array({ notice.fingerprint, notice.timeLeft.count() }));
+        for (const auto& notice : notices) {
+            auto crashes = json::array();
+            for (const auto& each : notice.crashes)
+                crashes.push_back(json::array({ each.id, each.runTime.count(), each.age.count() }));
+            result.push_back(json::array({ notice.fingerprint,
+                notice.answerAge ? json(notice.answerAge->count()) : json(nullptr), std::move(crashes) }));
+        }
         return result;
     }
 
-    std::vector<quarantine_notice> readQuarantineNotices(const json& value)
+    std::vector<crash_notice> readCrashNotices(const json& value)
     {
-        std::vector<quarantine_notice> notices;
-        for (const auto& notice : value)
-            notices.push_back({ notice.at(0), milliseconds(notice.at(1).get<std::int64_t>()) });
+        auto readTime = [](const json& time) { return milliseconds(time.get<std::int64_t>()); };
+        std::vector<crash_notice> notices;
+        for (const auto& each : value) {
+            crash_notice notice;
+            notice.fingerprint = each.at(0);
+            if (!each.at(1).is_null())
+                notice.answerAge = readTime(each.at(1));
+            for (const auto& crash : each.at(2))
+                notice.crashes.push_back({ crash.at(0), readTime(crash.at(1)), readTime(crash.at(2)) });
+            notices.push_back(std::move(notice));
+        }
         return notices;
     }
 
@@ -170,7 +183,7 @@
 {
     return pack(json::array({ message.kind, message.sequence, toArray(message.from), message.fromEndpoint,
         message.target.text(), message.targetEndpoint, toArray(message.cursors), message.viewDigest,
-        toArray(message.updates), toArray(message.quarantined) }));
+        toArray(message.updates), toArray(message.crashes) }));
 }
 
 std::optional<gossip_message> decodeGossip(std::string_view bytes)
@@ -186,7 +199,7 @@
         message.cursors = readCursors(value.at(6));
         message.viewDigest = value.at(7);
         message.updates = readMembers(value.at(8));
-        message.quarantined = readQuarantineNotices(value.at(9));
+        message.crashes = readCrashNotices(value.at(9));
         return message;
     });
 }
--- a/packages/node/src/control_state.cpp
+++ b/packages/node/src/control_state.cpp
@@ -40,6 +40,15 @@
 
     std::size_t indexOf(log_stream stream) { return static_cast<std::size_t>(stream); }
 
+    /** The notices share a datagram with other news. */
+    quarantine_policy quarantinePolicy()
+    {
+        quarantine_policy policy;
+        policy.maxNewsPerMessage = 3;
+        policy.maxNoticesPerMessage = 2;
+        return policy;
+    }
+
 } // namespace
 
 control_state::control_state(const node_settings& settings, node_incarnation self, control_hooks hooks)
@@ -56,7 +65,7 @@
     , m_ejection(settings.ejection)
     , m_slowStart(slow_start_policy {})
     , m_judge(settings.node, settings.gray, m_registry, m_hooks.onDecision)
-    , m_quarantine(quarantine_policy {})
+    , m_quarantine(quarantinePolicy())
     , m_decisionHistory(maxDecisions)
     , m_history(maxHistoryRecords)
     , m_knownHolders(slotCount)
@@ -314,7 +323,7 @@
         m_lastPeerContact = *probedAt;
         m_memberSync.recordPeerView(message, m_members.viewDigest(), now.monotonic);
     }
-    m_quarantine.addNotices(message.quarantined, now.monotonic);
+    m_quarantine.addNotices(message.crashes, now.monotonic);
     m_inForce = std::max(m_inForce, message.cursors.inForceOffset);
     if (message.kind == gossip_kind::report) {
         m_confirmations.recordOffset(message.from, message.cursors.configuration);
@@ -340,14 +349,15 @@
 void control_state::addNotices(std::vector<outgoing_gossip>& datagrams, instant now)
 {
     for (auto& datagram : datagrams)
-        datagram.message.quarantined = m_quarantine.notices(now);
+        datagram.message.crashes = m_quarantine.notices(now);
 }
 
 void control_state::recordBackendCrash(request_fingerprint fingerprint, const backend_server_id& backend,
-    const std::string& subject, const present& now)
+    instant startedAt, const std::string& subject, const present& now)
 {
-    bool isNew = m_quarantine.recordCrash(fingerprint, backend, now.monotonic);
-    recordDecision(now, subject, "quarantine", isNew ? "quarantined" : "suspect",
+    m_quarantine.recordCrash({ fingerprint, backend, {}, startedAt, now.monotonic }, now.monotonic);
+    bool isQuarantined = m_quarantine.isQuarantined(fingerprint, now.monotonic);
+    recordDecision(now, subject, "quarantine", isQuarantined ? "quarantined" : "suspect",
         backend.text() + " ended while it ran this request");
 }
 
--- a/packages/node/src/control_state.h
+++ b/packages/node/src/control_state.h
@@ -67,6 +67,10 @@
     const data_centre_slow_start& slowStart() const { return m_slowStart; }
     token_leases& leases() { return m_leases; }
     const crash_quarantine& quarantine() const { return m_quarantine; }
+    bool noteBackendResponse(request_fingerprint fingerprint, instant now)
+    {
+        return m_quarantine.noteResponse(fingerprint, now);
+    }
     node_readiness readiness(instant now) const;
     std::optional<std::string> endpointOf(const node_id& node) const;
     std::optional<node_id> holderOf(slot_index slot) const;
@@ -102,8 +106,11 @@
 
     // Quarantine of requests that crash backend servers.
     void recordBackendCrash(request_fingerprint fingerprint, const backend_server_id& backend,
-        const std::string& subject, const present& now);
-    void recordBackendResponse(request_fingerprint fingerprint) { m_quarantine.recordResponse(fingerprint); }
+        instant startedAt, const std::string& subject, const present& now);
+    void recordBackendResponse(request_fingerprint fingerprint, const present& now)
+    {
+        m_quarantine.recordResponse(fingerprint, now.monotonic);
+    }
 
     // Backend servers of this instance, and decisions.
     void setBackends(std::vector<announced_backend> backends);
--- a/packages/node/src/fleet_forwarder.cpp
+++ b/packages/node/src/fleet_forwarder.cpp
@@ -30,7 +30,8 @@
     {
         const auto& head = outer.request();
         auto organisation = headerValue(head.headers, organisationHeader).value_or("");
-        return pomelohub::fingerprintOf(organisation, request.service.text(), head.method, head.path);
+        return pomelohub::fingerprintOf(
+            { organisation, request.service.text(), head.method, head.path, {}, {} });
     }
 
     std::optional<std::uint64_t> numericHeader(const response_head& head, std::string_view name)
@@ -131,7 +132,7 @@
     if (auto load = numericHeader(head, loadHeader))
         state->stats->reportedLoad = static_cast<std::uint32_t>(*load);
     auto fingerprint = fingerprintOf(*state->outer, state->request);
-    if (m_dependencies.state.quarantine().isSuspect(fingerprint))
+    if (m_dependencies.state.noteBackendResponse(fingerprint, m_dependencies.clock().monotonic))
         m_dependencies.onCleared(fingerprint);
     recordDecision(*state, "answered", state->backend + " status " + std::to_string(head.status));
     std::erase_if(head.headers,
@@ -155,7 +156,7 @@
     // A backend server whose connection broke while it ran a request may have been crashed by that request.
     if (why.reason == refusal_reason::backendServerFailed && why.outcome == execution::mayHaveRun)
         m_dependencies.onCrash(fingerprintOf(*state->outer, state->request),
-            backend_server_id(state->backend), state->request.requestId);
+            backend_server_id(state->backend), state->sentAt, state->request.requestId);
     failed_attempt attempt { why, state->attempts, state->request.isIdempotent,
         state->outer->requestBody().rewind(), state->outer->deadline() };
     if (!state->outer->isCancelled() && mayRetry(attempt, m_policy, now)
--- a/packages/node/src/fleet_forwarder.h
+++ b/packages/node/src/fleet_forwarder.h
@@ -30,8 +30,8 @@
     std::function<void()> onRetry;
     /** The call of a backend server failed after the request may have reached it, so that the request may
      * have crashed the backend server. */
-    std::function<void(
-        request_fingerprint fingerprint, const backend_server_id& backend, const std::string& requestId)>
+    std::function<void(request_fingerprint fingerprint, const backend_server_id& backend, instant startedAt,
+        const std::string& requestId)>
         onCrash;
     /** A request that was suspected of crashing backend servers received a response. */
     std::function<void(request_fingerprint fingerprint)> onCleared;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -137,14 +137,15 @@
         [&parts](const data_centre_id& dataCentre) { return parts.state->slowStart().weightOf(dataCentre); },
         nullptr };
     auto onCrash = [&parts](request_fingerprint fingerprint, const backend_server_id& backend,
-                       const std::string& subject) {
-        parts.control->withState([fingerprint, backend, subject](control_state& state, const present& now) {
-            state.recordBackendCrash(fingerprint, backend, subject, now);
-        });
+                       instant startedAt, const std::string& subject) {
+        parts.control->withState(
+            [fingerprint, backend, startedAt, subject](control_state& state, const present& now) {
+                state.recordBackendCrash(fingerprint, backend, startedAt, subject, now);
+            });
     };
     auto onCleared = [&parts](request_fingerprint fingerprint) {
-        parts.control->withState([fingerprint](control_state& state, const present&) {
-            state.recordBackendResponse(fingerprint);
+        parts.control->withState([fingerprint](control_state& state, const present& now) {
+            state.recordBackendResponse(fingerprint, now);
         });
     };
     forwarder_dependencies forwarding { *parts.state, parts.host, parts.peers, m_clock, onDecision,
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -283,7 +283,9 @@
     bool isPastDeadline = now >= request.m_deadline;
     if (!isPastDeadline) {
         recordOutcome(request, backend_outcome::broken, now);
-        m_interruptedRequests.push_back({ request.request.id, request.request.fingerprint, now });
+        m_interruptedRequests.push_back({ request.request.id,
+            { request.request.fingerprint, request.m_backend, request.m_backendStartedAt, request.m_startedAt,
+                now } });
     }
     m_queue.release(std::nullopt, now); // After recordOutcome(), which may refuse the requests that wait.
     forward_reply reply;
@@ -319,22 +321,19 @@
 
 void backend_gateway::reportCrash(std::string_view evidence, instant now)
 {
-    backend_crash crash { m_identity.isKnown() ? m_identity.current().id : backend_server_id(), {} };
     auto interrupted = std::exchange(m_interruptedRequests, {});
     if (interrupted.empty())
         return;
-    auto lastInterruption = interrupted.back().at;
-    for (auto& each : interrupted) {
-        if (now - each.at < m_policy.crashWindow)
-            crash.requests.push_back(std::move(each));
-    }
+    auto lastInterruption = interrupted.back().run.crashedAt;
+    auto count = interrupted.size();
+    std::erase_if(interrupted,
+        [&](const interrupted_request& each) { return now - each.run.crashedAt >= m_policy.crashWindow; });
     m_log.write(event_priority::always, "backend_crashed", {},
-        { { "backend", crash.backend.text() }, { "evidence", evidence },
-            { "requests", static_cast<std::uint64_t>(crash.requests.size()) },
-            { "interrupted", static_cast<std::uint64_t>(interrupted.size()) },
-            { "since_last", now - lastInterruption } });
-    if (!crash.requests.empty())
-        m_hooks.onCrash(crash);
+        { { "backend", m_identity.isKnown() ? m_identity.current().id.text() : "" }, { "evidence", evidence },
+            { "requests", static_cast<std::uint64_t>(interrupted.size()) },
+            { "interrupted", static_cast<std::uint64_t>(count) }, { "since_last", now - lastInterruption } });
+    if (!interrupted.empty())
+        m_hooks.onCrash(interrupted);
 }
 
 void backend_gateway::cancel(gateway_request& request)
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -10,6 +10,7 @@
 #include "event_log.h"
 #include "header_codec.h"
 #include "http_client.h"
+#include "interrupted_request.h"
 #include "passive_health_check.h"
 #include "stuck_threshold.h"
 
@@ -49,19 +50,6 @@
     handle<http_client_connection> m_connection;
 };
 
-/** A request that got no complete response from a backend server. */
-struct interrupted_request {
-    request_id id;
-    request_fingerprint fingerprint = 0;
-    instant at {};
-};
-
-/** The crash of a backend server, with the requests that it interrupted. */
-struct backend_crash {
-    backend_server_id backend; ///< Empty if it was not known any more.
-    std::vector<interrupted_request> requests;
-};
-
 struct gateway_policy {
     /** How long a granted slot is held for the message of its offer. */
     duration commitTimeout = std::chrono::milliseconds(700);
@@ -84,8 +72,8 @@
     struct hooks {
         clock_hook clock;
         std::function<handle<const fleet_snapshot>()> snapshot;
-        /** The backend server has crashed. Not called for a crash that interrupted no request. */
-        std::function<void(const backend_crash&)> onCrash;
+        /** The backend server has crashed and interrupted these requests, at least one. */
+        std::function<void(const std::vector<interrupted_request>&)> onCrash;
         /** The backend server completed a response to the request. */
         std::function<void(request_fingerprint)> onResponse;
     };
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -113,7 +113,7 @@
             m_pollRetryDelay = m_policy.initialRetryDelay;
             recordTransfer("snapshot", state->document.size(), startedAt);
             if (m_controller.applyState(*state))
-                spreadOperatorState();
+                spreadState();
             pollOperatorLog();
         });
 }
@@ -204,7 +204,7 @@
             // Gossip may have advanced the position during the poll; these records are then already applied.
             if (m_controller.operators().position == from
                 && m_controller.applyChanges(read->changes, read->position))
-                spreadOperatorState();
+                spreadState();
             if (read->changes.empty())
                 pollOperatorLog();
             else
@@ -290,7 +290,7 @@
     return chosen;
 }
 
-void control_loop::spreadOperatorState()
+void control_loop::spreadState()
 {
     for (const auto& endpoint : selectEndpoints(m_localEndpoints, m_policy.localSpreadFanout))
         gossipWith(endpoint);
@@ -371,7 +371,7 @@
     update.from = m_self.node;
     update.position = m_controller.operators().position;
     update.fingerprint = m_controller.announcements().fingerprint();
-    update.quarantined = m_quarantine.notices(m_hooks.clock().monotonic);
+    update.crashes = m_quarantine.notices(m_hooks.clock().monotonic);
     update.contactAge
         = isFollowingLog() ? duration::zero() : m_readerDuty.contactAge(m_hooks.clock().monotonic);
     if (m_hooks.clock().monotonic - m_startedAt < m_policy.introductionTime || m_self.hasLeft)
@@ -426,7 +426,7 @@
         return;
     m_log.write(event_priority::always, "configuration_from_peer", {},
         { { "peer", source }, { "position", transfer->position }, { "version", m_controller.version() } });
-    spreadOperatorState();
+    spreadState();
 }
 
 void control_loop::applyGossip(const gossip_update& update)
@@ -438,9 +438,39 @@
         m_log.write(event_priority::failure, "announcement_unreadable", {},
             { { "peer", update.from.text() },
                 { "count", static_cast<std::uint64_t>(update.unreadableAnnouncements) } });
-    for (auto fingerprint : m_quarantine.addNotices(update.quarantined, m_hooks.clock().monotonic))
-        m_log.write(event_priority::always, "quarantine_learned", {},
-            { { "fingerprint", fingerprint }, { "peer", update.from.text() } });
+    auto changes = m_quarantine.addNotices(update.crashes, m_hooks.clock().monotonic);
+    logQuarantineChanges(changes, update.from);
+    if (!changes.isEmpty())
+        spreadState();
+}
+
+void control_loop::recordCrash(const std::vector<interrupted_request>& interrupted)
+{
+    for (const auto& each : interrupted) {
+        m_log.write(event_priority::always, "request_suspect", each.id,
+            { { "fingerprint", each.run.fingerprint }, { "backend", each.run.backend.text() },
+                { "ran", each.run.crashedAt - each.run.startedAt } });
+        logQuarantineChanges(m_quarantine.recordCrash(each.run, m_hooks.clock().monotonic), m_self.node);
+    }
+    spreadState();
+}
+
+void control_loop::recordResponse(request_fingerprint fingerprint)
+{
+    auto changes = m_quarantine.recordResponse(fingerprint, m_hooks.clock().monotonic);
+    logQuarantineChanges(changes, m_self.node);
+    if (!changes.isEmpty())
+        spreadState();
+}
+
+void control_loop::logQuarantineChanges(const quarantine_changes& changes, const node_id& source)
+{
+    for (auto fingerprint : changes.quarantined)
+        m_log.write(event_priority::always, "request_quarantined", {},
+            { { "fingerprint", fingerprint }, { "source", source.text() } });
+    for (auto fingerprint : changes.lifted)
+        m_log.write(event_priority::always, "quarantine_lifted", {},
+            { { "fingerprint", fingerprint }, { "source", source.text() } });
 }
 
 std::optional<peer_message> control_loop::handleGossip(const peer_message& request)
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -9,6 +9,7 @@
 #include "fleet_store.h"
 #include "gossip.h"
 #include "gossip_partners.h"
+#include "interrupted_request.h"
 #include "log_reader_duty.h"
 #include "peer_choice.h"
 #include "proxy_metrics.h"
@@ -30,8 +31,8 @@
     duration maxRetryDelay = std::chrono::seconds(1);
     duration gossipInterval = std::chrono::milliseconds(500);
     std::size_t gossipFanout = 2; ///< Peers contacted per interval: a reader of the log and partners.
-    /** Peers that are told at once of new operator state, here and in other data centres. Each of them tells
-     * as many, so that a change reaches n nodes in about log4(n) steps. */
+    /** Peers that are told at once of new operator state and of crashes, here and in other data centres. Each
+     * of them tells as many, so that a change reaches n nodes in about log4(n) steps. */
     std::size_t localSpreadFanout = 3;
     std::size_t remoteSpreadFanout = 1;
     duration gossipTimeout = std::chrono::milliseconds(800);
@@ -79,6 +80,13 @@
      */
     std::optional<peer_message> handleGossip(const peer_message& request);
 
+    /** Records that the backend server beside this node has crashed and interrupted these requests, and tells
+     * some peers at once. */
+    void recordCrash(const std::vector<interrupted_request>& interrupted);
+
+    /** Records that the backend server beside this node has answered a request that was suspect. */
+    void recordResponse(request_fingerprint fingerprint);
+
     /** Announces to peers and the store that this node is leaving the fleet. Calls \p done when the store has
      * accepted the announcement or the call has failed. */
     void leave(std::function<void()> done);
@@ -104,8 +112,9 @@
     void exchangeAnnouncements(
         const std::string& endpoint, const announcement_table::part_fingerprints& other);
     void requestOperatorState(const std::string& endpoint);
-    void spreadOperatorState();
+    void spreadState();
     void applyGossip(const gossip_update& update);
+    void logQuarantineChanges(const quarantine_changes& changes, const node_id& source);
     void applyTransfer(std::string_view bytes, const std::string& source, instant startedAt);
     gossip_update makeGossip(const gossip_update* request);
     const std::string& encodedTransfer(document_fingerprint base);
--- a/packages/proxy/src/gossip.cpp
+++ b/packages/proxy/src/gossip.cpp
@@ -124,6 +124,29 @@
         return transfer;
     }
 
+    /** Without names, as there may be many in a message. */
+    json toJson(const crash_notice& notice)
+    {
+        auto crashes = json::array();
+        for (const auto& each : notice.crashes)
+            crashes.push_back({ each.id, each.runTime.count(), each.age.count() });
+        return json::array({ notice.fingerprint,
+            notice.answerAge ? json(notice.answerAge->count()) : json(nullptr), std::move(crashes) });
+    }
+
+    crash_notice parseCrashNotice(const json& value)
+    {
+        auto parseTime = [](const json& time) { return std::chrono::milliseconds(time.get<std::int64_t>()); };
+        crash_notice notice;
+        notice.fingerprint = parseUnsigned(value.at(0));
+        if (!value.at(1).is_null())
+            notice.answerAge = parseTime(value.at(1));
+        for (const auto& each : value.at(2))
+            notice.crashes.push_back(
+                { parseUnsigned(each.at(0)), parseTime(each.at(1)), parseTime(each.at(2)) });
+        return notice;
+    }
+
     gossip_update parseGossip(const json& body)
     {
         gossip_update update;
@@ -152,10 +175,8 @@
                 = body.at("part_fingerprints").get<announcement_table::part_fingerprints>();
         if (body.contains("document_base"))
             update.documentBase = body.at("document_base").get<document_fingerprint>();
-        for (const auto& each : body.at("quarantined")) {
-            update.quarantined.push_back({ each.at("fingerprint").get<request_fingerprint>(),
-                std::chrono::milliseconds(each.at("left_ms").get<std::int64_t>()) });
-        }
+        for (const auto& each : body.value("crashes", json::array()))
+            update.crashes.push_back(parseCrashNotice(each));
         return update;
     }
 
@@ -198,7 +219,8 @@
 {
     json body { { "from", update.from.text() }, { "position", update.position },
         { "fingerprint", update.fingerprint }, { "announcements", json::array() },
-        { "quarantined", json::array() }, { "following_log", update.contactAge == duration::zero() } };
+        { "quarantined", json::array() }, // Nodes of an earlier version require it.
+        { "following_log", update.contactAge == duration::zero() } };
     for (const auto& each : update.announcements)
         body["announcements"].push_back(toJson(each));
     if (update.contactAge)
@@ -210,9 +232,8 @@
         body["document_base"] = *update.documentBase;
     if (update.operators)
         body["operators"] = json::binary({ update.operators->begin(), update.operators->end() });
-    for (const auto& each : update.quarantined)
-        body["quarantined"].push_back(
-            { { "fingerprint", each.fingerprint }, { "left_ms", each.timeLeft.count() } });
+    for (const auto& each : update.crashes)
+        body["crashes"].push_back(toJson(each));
     auto bytes = json::to_msgpack(body);
     peer_message message;
     message.fields = { { "type", "gossip" } };
--- a/packages/proxy/src/gossip.h
+++ b/packages/proxy/src/gossip.h
@@ -1,6 +1,6 @@
 /** \file
  * Defines the gossip messages by which nodes exchange fleet state: instance announcements, operator state and
- * quarantined requests. Messages are encoded as MessagePack.
+ * requests in whose runs backend servers crashed. Messages are encoded as MessagePack.
  */
 #pragma once
 
@@ -39,7 +39,7 @@
     /** An encoded operator_transfer, in a response to a request with a documentBase. It is encoded once for
      * all nodes that ask for the same. */
     std::optional<std::string> operators;
-    std::vector<quarantine_notice> quarantined;
+    std::vector<crash_notice> crashes;
 };
 
 /** Encodes and compresses \p transfer. */
--- a/packages/proxy/src/ingress_filters.cpp
+++ b/packages/proxy/src/ingress_filters.cpp
@@ -52,8 +52,8 @@
             std::string_view organisation;
             if (context.organisation)
                 organisation = context.organisation->id.text();
-            context.fingerprint = fingerprintOf(organisation, context.rule->services.front().service.text(),
-                context.message.method, context.message.target);
+            context.fingerprint = fingerprintOf({ organisation, context.rule->services.front().service.text(),
+                context.message.method, context.message.target, {}, {} });
             if (!quarantine.isQuarantined(context.fingerprint, now.monotonic))
                 return {};
             return notRun(refusal_reason::requestQuarantined,
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -142,20 +142,13 @@
     m_gateway = std::make_unique<backend_gateway>(context, *backend, m_settings.service,
         m_settings.dataCentre, m_dependencies.headerCodec, gateway_policy {}, m_log,
         backend_gateway::hooks { m_clock, [this] { return m_controller.snapshot(); },
-            [this](const backend_crash& crash) {
-                asio::post(m_control, [this, crash] {
-                    for (const auto& each : crash.requests) {
-                        bool isQuarantined
-                            = m_quarantine.recordCrash(each.fingerprint, crash.backend, m_clock().monotonic);
-                        m_log.write(event_priority::always,
-                            isQuarantined ? "request_quarantined" : "request_suspect", each.id,
-                            { { "fingerprint", each.fingerprint }, { "backend", crash.backend.text() } });
-                    }
-                });
+            [this](const std::vector<interrupted_request>& interrupted) {
+                asio::post(m_control, [this, interrupted] { m_controlLoop->recordCrash(interrupted); });
             },
             [this](request_fingerprint fingerprint) {
-                if (m_quarantine.isSuspect(fingerprint))
-                    asio::post(m_control, [this, fingerprint] { m_quarantine.recordResponse(fingerprint); });
+                if (m_quarantine.noteResponse(fingerprint, m_clock().monotonic))
+                    asio::post(
+                        m_control, [this, fingerprint] { m_controlLoop->recordResponse(fingerprint); });
             } });
     firstWorker->forwarder.setGateway(m_gateway.get());
     m_workers.push_back(std::move(firstWorker));
--- a/test/correctness/request_filters.cpp
+++ b/test/correctness/request_filters.cpp
@@ -104,17 +104,22 @@
     entry_fixture entry;
     auto context = entry_fixture::makeRequest("GET", "/x");
     context.target = "/x?poison";
-    auto fingerprint = fingerprintOf("org", "s", "GET", "/x?poison");
+    auto fingerprint = fingerprintOf({ "org", "s", "GET", "/x?poison", {}, {} });
     backend_server_id first("b1");
     backend_server_id second("b2");
-    CHECK_FALSE(entry.quarantine.recordCrash(fingerprint, first, now.monotonic));
-    CHECK_FALSE(entry.quarantine.recordCrash(fingerprint, first, now.monotonic));
+    auto recordCrash = [&](const backend_server_id& backend) {
+        entry.quarantine.recordCrash(
+            { fingerprint, backend, {}, now.monotonic, now.monotonic }, now.monotonic);
+        return entry.quarantine.isQuarantined(fingerprint, now.monotonic);
+    };
+    CHECK_FALSE(recordCrash(first));
+    CHECK_FALSE(recordCrash(first));
     // A request in flight at the crash that was answered elsewhere is cleared.
-    entry.quarantine.recordResponse(fingerprint);
-    CHECK_FALSE(entry.quarantine.recordCrash(fingerprint, second, now.monotonic));
+    entry.quarantine.recordResponse(fingerprint, now.monotonic);
+    CHECK_FALSE(recordCrash(second));
     std::string_view refusedBy;
     CHECK(entry.chain.run(context, now, refusedBy));
-    CHECK(entry.quarantine.recordCrash(fingerprint, first, now.monotonic));
+    CHECK(recordCrash(first));
     context = entry_fixture::makeRequest("GET", "/x");
     context.target = "/x?poison";
     auto why = entry.refuse(context);
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -95,9 +95,9 @@
     backend_gateway gateway { context, backend.acceptor.local_endpoint(), service_id("a"),
         data_centre_id("z"), words, {}, quietLog(),
         { readSystemClock, [this] { return handle<const fleet_snapshot>(snapshot); },
-            [this](const backend_crash& crash) {
-                for (const auto& each : crash.requests)
-                    crashed.push_back(each.fingerprint);
+            [this](const std::vector<interrupted_request>& interrupted) {
+                for (const auto& each : interrupted)
+                    crashed.push_back(each.run.fingerprint);
             },
             [](request_fingerprint) {} } };
     std::uint64_t sequence = 0;
--- a/test/proxy/crash_evidence.cpp
+++ b/test/proxy/crash_evidence.cpp
@@ -13,8 +13,9 @@
 
 void recordCrash(fleet_fixture& fleet, std::size_t node, request_fingerprint fingerprint)
 {
+    auto now = std::chrono::steady_clock::now();
     fleet.members[node]->quarantine.recordCrash(
-        fingerprint, backend_server_id("i-" + std::to_string(node)), std::chrono::steady_clock::now());
+        { fingerprint, backend_server_id("i-" + std::to_string(node)), {}, now - 10ms, now }, now);
 }
 
 std::size_t countQuarantined(const fleet_fixture& fleet, request_fingerprint fingerprint)
