Ask the quarantine before each attempt, hedge and start, not at the entry of a request only

A request that waited for a slot, was retried, or had been forwarded by a node that did not know of its quarantine was run once more: the filter asked once, before the first attempt, and the node beside the server not at all.

Now the node beside the server, which alone admits, asks on arrival and again when a slot is free or the message of an offer has come, and the entry asks before each attempt and hedge. A refusal by quarantine ends the request instead of searching further. The hook of the gateway is new, so its tests could not be run on the code before.

--- a/packages/decisions/src/crash_quarantine.cpp
+++ b/packages/decisions/src/crash_quarantine.cpp
@@ -29,6 +29,12 @@
     return stableHash(request.body, stableHash(text));
 }
 
+request_error quarantineRefusal(request_fingerprint fingerprint)
+{
+    return { execution::notRun, refusal_reason::requestQuarantined,
+        "backend servers crashed under it: " + std::to_string(fingerprint), {} };
+}
+
 crash_quarantine::crash_quarantine(quarantine_policy policy)
     : m_policy(policy)
 {
--- a/packages/decisions/src/crash_quarantine.h
+++ b/packages/decisions/src/crash_quarantine.h
@@ -7,6 +7,7 @@
 
 #include "rcu_cell.h"
 #include "recent_responses.h"
+#include "request_error.h"
 
 #include <deque>
 #include <unordered_map>
@@ -51,6 +52,9 @@
     std::vector<crash> crashes; ///< Since that answer.
 };
 
+/** The refusal of a quarantined request that has not run. */
+request_error quarantineRefusal(request_fingerprint fingerprint);
+
 /** What a report changed. */
 struct quarantine_changes {
     std::vector<request_fingerprint> quarantined;
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -76,6 +76,8 @@
         return notRun(refusal_reason::backendServerDraining, "the backend server leaves");
     if (!m_identity.isAccepting())
         return notRun(refusal_reason::noBackendServer, "the backend server has not announced itself");
+    if (m_hooks.isQuarantined(request.request.fingerprint, now))
+        return tl::unexpected(quarantineRefusal(request.request.fingerprint));
     if (!m_healthCheck.isSuspect())
         return {};
     bool mayBeTrial = request.request.mayBeTrial || m_healthCheck.hasNoRecentFailure(now);
@@ -166,17 +168,26 @@
     run(&request, m_hooks.clock().monotonic);
 }
 
+/** Checks again what may have changed while the request waited. */
+result<void> backend_gateway::checkStart(const gateway_request& request, instant now) const
+{
+    if (now >= request.m_deadline)
+        return notRun(refusal_reason::deadlineExceeded, "the backend server cannot start it any more");
+    if (!m_identity.isAccepting())
+        return notRun(refusal_reason::backendServerDraining, "the backend server cannot start it any more");
+    if (m_hooks.isQuarantined(request.request.fingerprint, now))
+        return tl::unexpected(quarantineRefusal(request.request.fingerprint));
+    return {};
+}
+
 void backend_gateway::run(const handle<gateway_request>& request, instant now)
 {
     request->m_stage = gateway_request::stage::running;
     auto remaining = request->m_deadline - now;
-    // The server may have started to drain while the request waited.
-    if (!m_identity.isAccepting() || remaining <= duration::zero()) {
-        auto reason = remaining <= duration::zero() ? refusal_reason::deadlineExceeded
-                                                    : refusal_reason::backendServerDraining;
-        asio::post(m_context, [this, request, reason] {
+    if (auto startable = checkStart(*request, now); !startable) {
+        asio::post(m_context, [this, request, reason = startable.error()] {
             m_queue.release(std::nullopt, m_hooks.clock().monotonic);
-            refuse(*request, refusal(reason, "the backend server cannot start it any more"), false);
+            refuse(*request, reason, false);
         });
         return;
     }
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -72,6 +72,8 @@
     struct hooks {
         clock_hook clock;
         std::function<handle<const fleet_snapshot>()> snapshot;
+        /** Whether the request crashes backend servers. Thread safety: any thread. */
+        std::function<bool(request_fingerprint, instant now)> isQuarantined;
         /** The backend server has crashed and interrupted these requests, at least one. */
         std::function<void(const std::vector<interrupted_request>&)> onCrash;
         /** The backend server completed a response to the request. */
@@ -132,6 +134,7 @@
     };
 
     result<void> checkAdmission(gateway_request& request, instant now);
+    result<void> checkStart(const gateway_request& request, instant now) const;
     duration avoidDurationFor(refusal_reason reason) const;
     void refuse(gateway_request& request, const request_error& refusal, bool hasReachedBackend);
     void finish(gateway_request& request, forward_reply reply);
--- a/packages/proxy/src/ingress_filters.cpp
+++ b/packages/proxy/src/ingress_filters.cpp
@@ -56,8 +56,7 @@
                 context.message.method, context.message.target, {}, {} });
             if (!quarantine.isQuarantined(context.fingerprint, now.monotonic))
                 return {};
-            return notRun(refusal_reason::requestQuarantined,
-                "backend servers crashed under it: " + std::to_string(context.fingerprint));
+            return tl::unexpected(quarantineRefusal(context.fingerprint));
         });
     return chain;
 }
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -152,7 +152,7 @@
 
     void hedge(instant present)
     {
-        if (m_attempts.size() != 1)
+        if (m_attempts.size() != 1 || m_router.m_quarantine.isQuarantined(m_context.fingerprint, present))
             return;
         auto snapshot = m_router.m_hooks.snapshot();
         auto peer
@@ -285,6 +285,11 @@
 
     void sendNextAttempt(instant present)
     {
+        if (m_router.m_quarantine.isQuarantined(m_context.fingerprint, present)) {
+            m_lastRefusal = quarantineRefusal(m_context.fingerprint);
+            finishWithBestResult("quarantine");
+            return;
+        }
         // The set of peers may have changed since the request arrived, so the current snapshot is used.
         auto snapshot = m_router.m_hooks.snapshot();
         if (auto selection
@@ -457,6 +462,11 @@
             retryAfterFailure(toText(refusal.reason));
             return;
         }
+        if (refusal.reason == refusal_reason::requestQuarantined) {
+            if (m_attempts.empty())
+                finishWithBestResult("quarantine");
+            return;
+        }
         bool isBusy = refusal.reason == refusal_reason::backendServerBusy;
         m_selector.recordRefusal(peer, isBusy ? refusal.retryAfter : duration::zero());
         if (m_attempts.empty() && !m_isWaitingForTokens)
@@ -562,6 +572,7 @@
     , m_ownService(std::move(ownService))
     , m_dataCentre(std::move(dataCentre))
     , m_codec(codec)
+    , m_quarantine(quarantine)
     , m_forwarder(forwarder)
     , m_policy(policy)
     , m_log(log)
--- a/packages/proxy/src/ingress_router.h
+++ b/packages/proxy/src/ingress_router.h
@@ -86,6 +86,7 @@
     service_id m_ownService;
     data_centre_id m_dataCentre;
     const header_codec& m_codec;
+    const crash_quarantine& m_quarantine;
     peer_forwarder& m_forwarder;
     ingress_policy m_policy;
     event_log& m_log;
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -142,6 +142,9 @@
     m_gateway = std::make_unique<backend_gateway>(context, *backend, m_settings.service,
         m_settings.dataCentre, m_dependencies.headerCodec, gateway_policy {}, m_log,
         backend_gateway::hooks { m_clock, [this] { return m_controller.snapshot(); },
+            [this](request_fingerprint fingerprint, instant now) {
+                return m_quarantine.isQuarantined(fingerprint, now);
+            },
             [this](const std::vector<interrupted_request>& interrupted) {
                 asio::post(m_control, [this, interrupted] { m_controlLoop->recordCrash(interrupted); });
             },
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -92,9 +92,11 @@
     header_codec words = makePlatformHeaderCodec();
     handle<fleet_snapshot> snapshot { new fleet_snapshot };
     std::vector<request_fingerprint> crashed;
+    std::set<request_fingerprint> quarantined;
     backend_gateway gateway { context, backend.acceptor.local_endpoint(), service_id("a"),
         data_centre_id("z"), words, {}, quietLog(),
         { readSystemClock, [this] { return handle<const fleet_snapshot>(snapshot); },
+            [this](request_fingerprint fingerprint, instant) { return quarantined.contains(fingerprint); },
             [this](const std::vector<interrupted_request>& interrupted) {
                 for (const auto& each : interrupted)
                     crashed.push_back(each.run.fingerprint);
@@ -346,6 +348,14 @@
     CHECK(fixture.backend.requests.empty());
 }
 
+TEST_CASE("A request that another node lets pass is refused beside the server while it is quarantined")
+{
+    gateway_fixture fixture;
+    fixture.quarantined.insert(7);
+    checkNotRun(fixture.submit(), refusal_reason::requestQuarantined);
+    CHECK(fixture.backend.connections == 0);
+}
+
 TEST_CASE("After a broken answer requests that run once go elsewhere, unless nothing else is left")
 {
     gateway_fixture fixture("reset");
@@ -501,6 +511,14 @@
         REQUIRE(runUntil(fixture.context, [&] { return reply.has_value(); }));
         CHECK(reply->response);
     }
+    SUBCASE("unless it was found to crash servers meanwhile")
+    {
+        fixture.quarantined.insert(offer->request.fingerprint);
+        fixture.gateway.commit(*offer);
+        REQUIRE(runUntil(fixture.context, [&] { return reply.has_value(); }));
+        checkNotRun(*reply, refusal_reason::requestQuarantined);
+        CHECK(fixture.backend.requests.empty());
+    }
     SUBCASE("unless the server began to leave meanwhile")
     {
         fixture.beat("i-1", true);
--- a/test/proxy/request_entry.cpp
+++ b/test/proxy/request_entry.cpp
@@ -84,6 +84,22 @@
     CHECK(answer.find(" 503 ") != std::string::npos);
 }
 
+TEST_CASE("A request that is found to crash servers while it waits for one is refused and not sent again")
+{
+    entry_fixture fixture;
+    auto fingerprint = fingerprintOf({ {}, "shop", "POST", "/x", {}, {} });
+    asio::steady_timer timer(fixture.context, 100ms);
+    timer.async_wait([&](std::error_code) {
+        auto now = readSystemClock().monotonic;
+        for (auto crashedAt : { now - 50ms, now }) {
+            auto id = backend_server_id(crashedAt == now ? "i-2" : "i-1");
+            fixture.quarantine.recordCrash({ fingerprint, id, {}, crashedAt - 10ms, crashedAt }, now);
+        }
+    });
+    CHECK(fixture.answer().find(" 503 ") != std::string::npos);
+    CHECK(fixture.metrics.text().find("request-quarantined") != std::string::npos);
+}
+
 TEST_CASE("A node that is about to end refuses new requests at once, unrun")
 {
     entry_fixture fixture;
