Tell requests apart by service, host and body in the quarantine

What makes requests equal was the organisation, the first service of the route, the method and the target. Requests with different bodies to one path shared a quarantine: one body that crashes servers would have had all refused, or the answers to the others would have cleared it over and over. A weighted route took the answers of one service for another's.

--- a/packages/proxy/src/ingress_filters.cpp
+++ b/packages/proxy/src/ingress_filters.cpp
@@ -40,6 +40,25 @@
         return notRun(refusal_reason::keyMissing, "the route asks for a key");
     }
 
+    result<void> chooseService(ingress_context& context, const present&)
+    {
+        context.service = context.rule->nextService();
+        return {};
+    }
+
+    request_fingerprint fingerprintOf(const ingress_context& context)
+    {
+        request_identity identity;
+        if (context.organisation)
+            identity.organisation = context.organisation->id.text();
+        identity.service = context.service.text();
+        identity.method = context.message.method;
+        identity.target = context.message.target;
+        identity.host = context.caller.host;
+        identity.body = context.message.body;
+        return pomelohub::fingerprintOf(identity);
+    }
+
 } // namespace
 
 ingress_filter_chain makeIngressFilterChain(const crash_quarantine& quarantine)
@@ -48,12 +67,9 @@
     chain.add("configuration", requireConfiguration)
         .add("route", matchRoute)
         .add("key", authenticate)
+        .add("service", chooseService)
         .add("quarantine", [&quarantine](ingress_context& context, const present& now) -> result<void> {
-            std::string_view organisation;
-            if (context.organisation)
-                organisation = context.organisation->id.text();
-            context.fingerprint = fingerprintOf({ organisation, context.rule->services.front().service.text(),
-                context.message.method, context.message.target, {}, {} });
+            context.fingerprint = fingerprintOf(context);
             if (!quarantine.isQuarantined(context.fingerprint, now.monotonic))
                 return {};
             return tl::unexpected(quarantineRefusal(context.fingerprint));
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -55,12 +55,13 @@
         }
         m_context.snapshot = m_router.m_hooks.snapshot();
         std::string_view refusedBy;
-        if (auto passed = m_router.m_filters.run(m_context, now, refusedBy); !passed) {
+        auto passed = m_router.m_filters.run(m_context, now, refusedBy);
+        m_service = m_context.service;
+        if (!passed) {
             refuse(passed.error(), refusedBy);
             return;
         }
         startTimer(now.monotonic);
-        m_service = m_context.rule->nextService();
         m_isAdmitted = true;
         acquireToken(now.monotonic);
     }
--- a/packages/proxy/src/ingress_router.h
+++ b/packages/proxy/src/ingress_router.h
@@ -23,6 +23,7 @@
     handle<const routing_rule> rule; ///< Set by the route filter.
     /** Set by the key filter; null if no API key was checked. */
     handle<const organisation_limits> organisation;
+    service_id service; ///< Set by the service filter: that of the route, or one of them by weight.
     request_fingerprint fingerprint = 0; ///< Set by the quarantine filter.
 };
 
--- a/test/proxy/request_entry.cpp
+++ b/test/proxy/request_entry.cpp
@@ -87,7 +87,7 @@
 TEST_CASE("A request that is found to crash servers while it waits for one is refused and not sent again")
 {
     entry_fixture fixture;
-    auto fingerprint = fingerprintOf({ {}, "shop", "POST", "/x", {}, {} });
+    auto fingerprint = fingerprintOf({ {}, "shop", "POST", "/x", "shop.example", {} });
     asio::steady_timer timer(fixture.context, 100ms);
     timer.async_wait([&](std::error_code) {
         auto now = readSystemClock().monotonic;
@@ -134,3 +134,42 @@
         CHECK(fixture.failedCalls == 1);
     }
 }
+
+TEST_CASE("Requests with another body, host or service do not share a quarantine")
+{
+    std::set<request_fingerprint> fingerprints;
+    for (const char* body : { "", "a", "b" }) {
+        for (const char* host : { "shop.example", "mall.example" }) {
+            for (const char* service : { "shop", "shop-next" })
+                fingerprints.insert(fingerprintOf({ "guild", service, "POST", "/bids", host, body }));
+        }
+    }
+    constexpr std::size_t kinds = 12;
+    CHECK(fingerprints.size() == kinds);
+}
+
+TEST_CASE("Of requests to one path, only that whose body crashes servers is refused")
+{
+    entry_fixture fixture;
+    auto record = [&](std::string_view body, const char* server, duration ago) {
+        auto now = readSystemClock().monotonic;
+        auto fingerprint = fingerprintOf({ {}, "shop", "POST", "/x", "shop.example", body });
+        fixture.quarantine.recordCrash(
+            { fingerprint, backend_server_id(server), {}, now - ago - 10ms, now - ago }, now);
+    };
+    record("boom", "i-1", 50ms);
+    record("boom", "i-2", 0ms);
+    auto isQuarantined = [&](const std::string& body) {
+        ingress_context context;
+        context.snapshot = fixture.snapshot;
+        context.caller.host = "shop.example";
+        context.message.method = "POST";
+        context.message.target = "/x";
+        context.message.body = body;
+        std::string_view refusedBy;
+        auto passed = makeIngressFilterChain(fixture.quarantine).run(context, readSystemClock(), refusedBy);
+        return !passed && refusedBy == "quarantine";
+    };
+    CHECK(isQuarantined("boom"));
+    CHECK_FALSE(isQuarantined("bid"));
+}
