Notice the crash of a backend server at once, and name only the requests that it interrupted

A crash of a server with five slots named 16 requests, since everything that had broken off in the last 3 s was blamed, answers or not; and a crash noticed after more than 3 s, as when no request comes, named none.

Now a node whose server breaks a request off and has no other open connection opens one: a refusal is a crash, a success goes to the pool for the next request. A later answer of the server clears the requests that broke off before it, so that the window can be 10 s. A timeout of that connection proves nothing and is ignored.

--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -61,6 +61,8 @@
         idle.connection->onIdleClosed = nullptr;
         idle.connection->cancel();
     }
+    if (m_verification)
+        m_verification->cancel();
 }
 
 result<void> backend_gateway::checkAdmission(gateway_request& request, instant now)
@@ -233,6 +235,7 @@
     if (connection->isReusable())
         poolConnection(connection, now);
     if (!info.isOtherServerStart) {
+        recordSignOfLife(now);
         applyRequestLimit(info.requestLimit, now);
         if (info.isLeaving && m_identity.recordLeaving(request.m_backend, request.m_backendStartedAt))
             handleLeaving(now);
@@ -299,6 +302,7 @@
                 now } });
     }
     m_queue.release(std::nullopt, now); // After recordOutcome(), which may refuse the requests that wait.
+    verifyServer();
     forward_reply reply;
     auto reason = isPastDeadline ? refusal_reason::deadlineExceeded : refusal_reason::backendServerFailed;
     reply.response = mayHaveRun(reason,
@@ -330,6 +334,36 @@
             refusal(refusal_reason::backendServerFailed, "the backend server fails requests"), now);
 }
 
+/** The server has answered a request, so that earlier interruptions were not its crash. */
+void backend_gateway::recordSignOfLife(instant now)
+{
+    std::erase_if(m_interruptedRequests,
+        [&](const interrupted_request& each) { return now - each.run.crashedAt > m_policy.maxReadDelay; });
+}
+
+/** Finds out whether the server that interrupted requests has crashed, without waiting for the next request:
+ * a crash has closed all connections, and new ones are refused. */
+void backend_gateway::verifyServer()
+{
+    if (m_interruptedRequests.empty() || !m_idleConnections.empty() || m_verification)
+        return;
+    m_verification.reset(new http_client_connection(m_context, { maxResponseHeaderBytes, maxResponseBytes }));
+    m_verification->open(m_backend, m_policy.connectTimeout,
+        [this](std::error_code error) { handleVerification(std::exchange(m_verification, nullptr), error); });
+}
+
+void backend_gateway::handleVerification(
+    const handle<http_client_connection>& connection, std::error_code error)
+{
+    auto now = m_hooks.clock().monotonic;
+    if (!error)
+        poolConnection(connection, now);
+    if (error != asio::error::connection_refused)
+        return;
+    reportCrash("connection_refused", now);
+    m_identity.forget();
+}
+
 void backend_gateway::reportCrash(std::string_view evidence, instant now)
 {
     auto interrupted = std::exchange(m_interruptedRequests, {});
@@ -399,6 +433,7 @@
     connection->onIdleClosed = [this, raw = connection.get()] {
         std::erase_if(
             m_idleConnections, [&](const idle_connection& each) { return each.connection.get() == raw; });
+        verifyServer();
     };
     if (m_idleConnections.size() > maxIdleConnections) {
         m_idleConnections.back().connection->cancel();
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -60,8 +60,12 @@
     /** Used when the server announces no idle timeout. */
     duration defaultIdleTimeout = std::chrono::seconds(4);
     stuck_threshold_policy stuckThreshold;
-    /** Requests interrupted within this time before a crash are reported as its possible cause. */
-    duration crashWindow = std::chrono::seconds(3);
+    /** Requests interrupted within this time before a crash is noticed are reported as its possible cause,
+     * unless the server has answered others since. */
+    duration crashWindow = std::chrono::seconds(10);
+    /** An answer that the server sent before a crash may be read this long after the crash has interrupted
+     * other requests. */
+    duration maxReadDelay = std::chrono::milliseconds(50);
     /** Fraction of the warm-up rate that is used; the rest allows for clock differences. */
     double warmupRateFraction = 0.9;
 };
@@ -146,6 +150,9 @@
     void recordOutcome(gateway_request& request, backend_outcome outcome, instant now);
     void applyRequestLimit(std::optional<double> perSecond, instant now);
     void handleLeaving(instant now);
+    void recordSignOfLife(instant now);
+    void verifyServer();
+    void handleVerification(const handle<http_client_connection>& connection, std::error_code error);
     void reportCrash(std::string_view evidence, instant now);
     handle<http_client_connection> acquireConnection(instant now);
     void poolConnection(const handle<http_client_connection>& connection, instant now);
@@ -170,6 +177,8 @@
     admission_queue m_queue;
     std::vector<handle<gateway_request>> m_activeRequests; ///< Hold a slot: granted or running.
     std::list<idle_connection> m_idleConnections; ///< Most recently used first.
+    /** Set while a connection is opened that shows whether the server has crashed. */
+    handle<http_client_connection> m_verification;
     std::vector<interrupted_request> m_interruptedRequests;
     std::atomic<std::size_t> m_activeCount { 0 };
     std::atomic<double> m_retryShare { 0 };
--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -59,8 +59,9 @@
 {
     m_timer.expires_after(timeout);
     m_timer.async_wait([self = handle<http_client_connection>(this), failure](std::error_code error) {
-        if (!error)
-            self->fail(failure);
+        if (error)
+            return;
+        self->m_opened ? self->finishOpening(asio::error::timed_out) : self->fail(failure);
     });
 }
 
@@ -68,10 +69,10 @@
 {
     startTimer(timeout, http_call_failure::notConnected);
     m_socket.async_connect(server, [self = handle<http_client_connection>(this)](std::error_code error) {
-        if (!self->m_done)
+        if (!self->m_done && !self->m_opened)
             return;
         if (error) {
-            self->fail(http_call_failure::notConnected);
+            self->m_opened ? self->finishOpening(error) : self->fail(http_call_failure::notConnected);
             return;
         }
         enableKeepAlive(self->m_socket);
@@ -81,11 +82,29 @@
             http_reader::hooks {
                 [raw = self.get()](http_message&& response) { raw->onResponse(std::move(response)); },
                 nullptr, [raw = self.get()] { return raw->m_isHeadRequest; } });
-        self->send();
+        if (self->m_opened)
+            self->finishOpening({});
+        else
+            self->send();
         self->readMore();
     });
 }
 
+void http_client_connection::open(const tcp::endpoint& server, duration timeout, http_open_callback done)
+{
+    m_opened = std::move(done);
+    connect(server, timeout);
+}
+
+void http_client_connection::finishOpening(std::error_code error)
+{
+    handle<http_client_connection> self(this);
+    if (error)
+        close();
+    m_timer.cancel();
+    std::exchange(m_opened, nullptr)(error);
+}
+
 void http_client_connection::send()
 {
     m_isWriting = true;
@@ -218,6 +237,7 @@
 void http_client_connection::cancel()
 {
     m_done = nullptr;
+    m_opened = nullptr;
     close();
 }
 
--- a/packages/proxy/src/http_client.h
+++ b/packages/proxy/src/http_client.h
@@ -21,6 +21,7 @@
 
 using http_call_result = tl::expected<http_message, http_call_failure>;
 using http_call_callback = std::function<void(http_call_result)>;
+using http_open_callback = std::function<void(std::error_code)>;
 
 /** The caller must hold a handle while a call is in progress. Thread safety: only used on the thread of its
  * execution context. */
@@ -38,6 +39,11 @@
     void call(const asio::ip::tcp::endpoint& server, const http_message& request, duration connectTimeout,
         duration timeout, http_call_callback done, std::optional<duration> silenceTimeout = std::nullopt);
 
+    /** Connects without sending anything. \p done is called once, with asio::error::timed_out after \p
+     * timeout, unless the connection is cancelled. Precondition: it isn't open, and no call is in progress.
+     */
+    void open(const asio::ip::tcp::endpoint& server, duration timeout, http_open_callback done);
+
     /** Closes the connection. A call in progress is abandoned and its callback is not called. */
     void cancel();
 
@@ -59,6 +65,7 @@
     void connect(const asio::ip::tcp::endpoint& server, duration timeout);
     void send();
     void readMore();
+    void finishOpening(std::error_code error);
     void onRead(std::error_code error, std::size_t length);
     void onResponse(http_message&& response);
     void fail(http_call_failure failure);
@@ -74,6 +81,7 @@
     std::array<char, 16'384> m_input {};
     std::string m_output;
     http_call_callback m_done;
+    http_open_callback m_opened; ///< Set while open() is in progress.
     duration m_timeout {};
     std::optional<duration> m_silenceTimeout;
     bool m_isOpen = false;
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -469,6 +469,34 @@
     CHECK(fixture.crashed == std::vector<request_fingerprint> { 7 });
 }
 
+TEST_CASE("A crash is noticed without another request, and only requests that it interrupted are reported")
+{
+    gateway_fixture fixture("reset");
+    checkMayHaveRun(fixture.submit(fixture.make(retry_rule::idempotent)));
+    CHECK(fixture.crashed.empty());
+    SUBCASE("when all connections have broken")
+    {
+        REQUIRE(runUntil(fixture.context, [&] { return fixture.backend.connections == 2; }));
+        fixture.backend.acceptor.close();
+        for (const auto& each : fixture.backend.open) {
+            if (each->socket.is_open())
+                scripted_backend::reset(*each);
+        }
+        REQUIRE(runUntil(fixture.context, [&] { return !fixture.crashed.empty(); }));
+        CHECK(fixture.crashed == std::vector<request_fingerprint> { 7 });
+    }
+    SUBCASE("but not one before the server's last answer")
+    {
+        std::this_thread::sleep_for(100ms);
+        fixture.backend.reply = gateway_fixture::good("r1");
+        auto request = fixture.make(retry_rule::idempotent);
+        request->request.suspectRule = suspect_rule::any;
+        CHECK(fixture.submit(request).response);
+        fixture.beat("i-2", false, 2000ms);
+        CHECK(fixture.crashed.empty());
+    }
+}
+
 TEST_CASE("A caller that leaves stops a request that may be repeated and lets one that runs once end")
 {
     gateway_fixture fixture("");
