--- a/packages/decisions/src/crash_quarantine.cpp
+++ b/packages/decisions/src/crash_quarantine.cpp
@@ -69,7 +69,7 @@
 
 quarantine_changes crash_quarantine::recordCrash(const crashed_run& run, instant now)
 {
-    auto* suspect = findOrAdd(run.fingerprint);
+    auto* suspect = findOrAdd(run.fingerprint, now);
     crash added { crashIdOf(run), run.startedAt, run.crashedAt };
     if (!suspect || !addCrash(run.fingerprint, *suspect, added, now))
         return {};
@@ -89,11 +89,13 @@
 }
 
 /** \return null if there are too many suspects. */
-crash_quarantine::suspect* crash_quarantine::findOrAdd(request_fingerprint fingerprint)
+crash_quarantine::suspect* crash_quarantine::findOrAdd(request_fingerprint fingerprint, instant now)
 {
     auto found = m_suspects.find(fingerprint);
     if (found != m_suspects.end())
         return &found->second;
+    if (m_suspects.size() >= m_policy.maxSuspects)
+        removeOld(now);
     return m_suspects.size() < m_policy.maxSuspects ? &m_suspects[fingerprint] : nullptr;
 }
 
@@ -145,7 +147,7 @@
     };
     bool isChanged = false;
     for (const auto& notice : notices) {
-        auto* suspect = findOrAdd(notice.fingerprint);
+        auto* suspect = findOrAdd(notice.fingerprint, now);
         if (!suspect)
             break;
         bool isNews = false;
@@ -241,7 +243,8 @@
     return lastCrash + m_policy.quarantineDuration;
 }
 
-/** Decides anew and publishes the decisions. */
+/** Decides anew and publishes the decisions. Linear in the number of suspects, which is small: only crashes
+ * and the first answers after them lead here. */
 quarantine_changes crash_quarantine::publish(instant now)
 {
     removeOld(now);
--- a/packages/decisions/src/crash_quarantine.h
+++ b/packages/decisions/src/crash_quarantine.h
@@ -36,9 +36,7 @@
     instant crashedAt {};
 };
 
-/** What a node knows of a request in whose runs backend servers crashed, in the form in which nodes exchange
- * it.
- */
+/** What a node knows of a request that was interrupted by crashes, in the form in which nodes exchange it. */
 struct crash_notice {
     struct crash {
         std::uint64_t id = 0; ///< Equal for all requests that the crash interrupted.
@@ -141,7 +139,7 @@
         std::unordered_map<request_fingerprint, instant> until;
     };
 
-    suspect* findOrAdd(request_fingerprint fingerprint);
+    suspect* findOrAdd(request_fingerprint fingerprint, instant now);
     static bool recordAnswer(suspect& suspect, instant answeredAt);
     bool addCrash(request_fingerprint fingerprint, suspect& suspect, const crash& added, instant now);
     void addNews(request_fingerprint fingerprint);
--- a/test/property/crash_evidence.cpp
+++ b/test/property/crash_evidence.cpp
@@ -201,6 +201,15 @@
     quarantine.addNotices(notices, now);
     CHECK(quarantine.count() <= policy.maxSuspects);
     CHECK(quarantine.notices(now).size() <= policy.maxNewsPerMessage + policy.maxNoticesPerMessage);
-    quarantine.removeExpired(now + policy.quarantineDuration);
-    CHECK(quarantine.count() == 0);
+    SUBCASE("and end with their time")
+    {
+        quarantine.removeExpired(now + policy.quarantineDuration);
+        CHECK(quarantine.count() == 0);
+    }
+    SUBCASE("and give way to new ones")
+    {
+        now += policy.quarantineDuration;
+        quarantine.recordCrash({ 6000, backend_server_id("i-1"), {}, now, now }, now);
+        CHECK(quarantine.count() == 1);
+    }
 }
