Run the callback of a timer for its current wait only

Cause: asio reports success to the handler of a wait that had ended before it was cancelled or replaced. After a suspension the connect timeout and the connection are ready in one turn of the loop. The handler of the connection sent the request; that of the timer then ended the call as not connected, so the request was reported as not run and sent elsewhere. The same holds for each timer whose handler trusts its error code alone, and for handlers of a socket that was closed and opened again inside a callback.

one_shot_timer numbers its waits and runs the callback of the current one only, also if the timer is destroyed. All waits of packages/proxy and packages/messages use it. http_client_connection ignores the handlers of a socket that it has closed since.

--- a/packages/messages/src/peer_client.cpp
+++ b/packages/messages/src/peer_client.cpp
@@ -21,7 +21,7 @@
 
         handle<tls_contexts> contexts;
         tls_stream stream;
-        asio::steady_timer timer;
+        one_shot_timer timer;
         peer_address peer;
         session_limits limits;
         clock_hook clock;
@@ -34,10 +34,9 @@
             auto address = asio::ip::make_address(parts ? parts->first : "", error);
             if (error)
                 return end("not an address: " + peer.endpoint);
-            timer.expires_after(connectTimeout);
-            timer.async_wait([self = handle<connect_attempt>(this)](const asio::error_code& stopped) {
-                if (!stopped)
-                    self->stream.lowest_layer().close();
+            timer.startAfter(connectTimeout, [self = handle<connect_attempt>(this)] {
+                asio::error_code ignored; // The attempt is given up anyway.
+                self->stream.lowest_layer().close(ignored);
             });
             stream.lowest_layer().async_connect({ address, parts->second },
                 [self = handle<connect_attempt>(this)](const asio::error_code& failure) {
--- a/packages/messages/src/peer_listener.cpp
+++ b/packages/messages/src/peer_listener.cpp
@@ -20,15 +20,13 @@
 
         handle<tls_contexts> contexts;
         tls_stream stream;
-        asio::steady_timer timer;
+        one_shot_timer timer;
 
         void start(std::function<void(const asio::error_code&)> done)
         {
-            timer.expires_after(handshakeTimeout);
-            timer.async_wait([self = handle<handshake>(this)](const asio::error_code& stopped) {
-                asio::error_code ignored;
-                if (!stopped)
-                    self->stream.lowest_layer().close(ignored);
+            timer.startAfter(handshakeTimeout, [self = handle<handshake>(this)] {
+                asio::error_code ignored; // The connection is given up anyway.
+                self->stream.lowest_layer().close(ignored);
             });
             stream.async_handshake(asio::ssl::stream_base::server,
                 [self = handle<handshake>(this), done = std::move(done)](const asio::error_code& error) {
@@ -98,11 +96,7 @@
 {
     // An accept that fails at once, for example because there are no free file descriptors, is retried after
     // a delay rather than in a busy loop.
-    m_acceptTimer.expires_after(acceptRetryDelay);
-    m_acceptTimer.async_wait([self = handle<peer_listener>(this)](const asio::error_code& stopped) {
-        if (!stopped)
-            self->accept();
-    });
+    m_acceptTimer.startAfter(acceptRetryDelay, [self = handle<peer_listener>(this)] { self->accept(); });
 }
 
 void peer_listener::startHandshake(asio::ip::tcp::socket socket)
--- a/packages/messages/src/peer_listener.h
+++ b/packages/messages/src/peer_listener.h
@@ -41,7 +41,7 @@
     clock_hook m_clock;
     asio::strand<asio::io_context::executor_type> m_strand;
     asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_acceptTimer;
+    one_shot_timer m_acceptTimer;
     incoming_hook m_onIncoming;
     std::function<void(const std::string&)> m_onRejected;
     std::set<handle<peer_session>> m_sessions;
--- a/packages/messages/src/peer_session.cpp
+++ b/packages/messages/src/peer_session.cpp
@@ -443,9 +443,8 @@
 
 void peer_session::scheduleKeepaliveCheck()
 {
-    m_keepaliveTimer.expires_after(keepaliveCheckInterval);
-    m_keepaliveTimer.async_wait([self = handle<peer_session>(this)](const asio::error_code& error) {
-        if (error || self->m_isClosed)
+    m_keepaliveTimer.startAfter(keepaliveCheckInterval, [self = handle<peer_session>(this)] {
+        if (self->m_isClosed)
             return;
         self->checkKeepalive(self->m_clock().monotonic);
         if (!self->m_isClosed)
--- a/packages/messages/src/peer_session.h
+++ b/packages/messages/src/peer_session.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "exchange.h"
+#include "one_shot_timer.h"
 #include "tls_material.h"
 
 #include <asio.hpp>
@@ -124,7 +125,7 @@
     bool m_isWriting = false;
     bool m_isClosed = false;
     std::atomic<bool> m_isClosing { false };
-    asio::steady_timer m_keepaliveTimer;
+    one_shot_timer m_keepaliveTimer;
     instant m_lastReceived {};
     instant m_lastActive {};
     instant m_pingSentAt {};
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -552,11 +552,7 @@
     if (next >= m_nextCheck)
         return;
     m_nextCheck = next;
-    m_timer.expires_at(next);
-    m_timer.async_wait([this](std::error_code error) {
-        if (!error)
-            runChecks();
-    });
+    m_timer.startAt(next, [this] { runChecks(); });
 }
 
 void backend_gateway::runChecks()
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -11,6 +11,7 @@
 #include "header_codec.h"
 #include "http_client.h"
 #include "interrupted_request.h"
+#include "one_shot_timer.h"
 #include "passive_health_check.h"
 #include "stuck_threshold.h"
 
@@ -163,7 +164,7 @@
     void runChecks();
 
     asio::io_context& m_context;
-    asio::steady_timer m_timer;
+    one_shot_timer m_timer;
     asio::ip::tcp::endpoint m_backend;
     service_id m_service;
     data_centre_id m_dataCentre;
--- a/packages/proxy/src/connection_acceptor.cpp
+++ b/packages/proxy/src/connection_acceptor.cpp
@@ -55,11 +55,7 @@
 
 void connection_acceptor::scheduleRetry()
 {
-    m_retryTimer.expires_after(retryDelay);
-    m_retryTimer.async_wait([this](std::error_code stopped) {
-        if (!stopped)
-            accept();
-    });
+    m_retryTimer.startAfter(retryDelay, [this] { accept(); });
 }
 
 } // namespace pomelohub
--- a/packages/proxy/src/connection_acceptor.h
+++ b/packages/proxy/src/connection_acceptor.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "core_types.h"
+#include "one_shot_timer.h"
 
 #include <asio.hpp>
 
@@ -36,7 +36,7 @@
     asio::io_context& m_context;
     hooks m_hooks;
     asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_retryTimer;
+    one_shot_timer m_retryTimer;
 };
 
 } // namespace pomelohub
--- a/packages/proxy/src/control_loop.cpp
+++ b/packages/proxy/src/control_loop.cpp
@@ -40,11 +40,8 @@
 
 void control_loop::followLater()
 {
-    m_pollTimer.expires_after(randomDuration(m_policy.minListWait, m_policy.maxListWait));
-    m_pollTimer.async_wait([this](std::error_code error) {
-        if (!error)
-            startFollowing();
-    });
+    m_pollTimer.startAfter(
+        randomDuration(m_policy.minListWait, m_policy.maxListWait), [this] { startFollowing(); });
 }
 
 void control_loop::startFollowing()
@@ -67,15 +64,11 @@
         requestOperatorState(endpoint);
 }
 
-void control_loop::scheduleRetry(asio::steady_timer& timer, duration& delay, std::function<void()> operation)
+void control_loop::scheduleRetry(one_shot_timer& timer, duration& delay, std::function<void()> operation)
 {
     // Jitter over half of the delay keeps nodes that lost the store at the same time from retrying in step.
-    timer.expires_after(randomDuration(delay / 2, delay));
+    timer.startAfter(randomDuration(delay / 2, delay), std::move(operation));
     delay = std::min<duration>(delay * 2, m_policy.maxRetryDelay);
-    timer.async_wait([operation = std::move(operation)](std::error_code error) {
-        if (!error)
-            operation();
-    });
 }
 
 void control_loop::updateStoreStatus(bool hasSucceeded, std::string_view call)
@@ -130,11 +123,7 @@
     if (!m_controller.recordAnnouncements(updates) || m_isPublicationScheduled)
         return;
     m_isPublicationScheduled = true;
-    m_publicationTimer.expires_after(m_policy.publicationDelay);
-    m_publicationTimer.async_wait([this](std::error_code error) {
-        if (!error)
-            updateMembers();
-    });
+    m_publicationTimer.startAfter(m_policy.publicationDelay, [this] { updateMembers(); });
 }
 
 void control_loop::updateMembers()
@@ -158,11 +147,8 @@
 
 void control_loop::pollAfterDelay()
 {
-    m_pollTimer.expires_after(randomDuration(duration::zero(), m_policy.maxPollDelayAfterChange));
-    m_pollTimer.async_wait([this](std::error_code error) {
-        if (!error)
-            pollOperatorLog();
-    });
+    m_pollTimer.startAfter(
+        randomDuration(duration::zero(), m_policy.maxPollDelayAfterChange), [this] { pollOperatorLog(); });
 }
 
 void control_loop::pollOperatorLog()
@@ -171,11 +157,7 @@
     auto startsAt = m_readerDuty.startsAt();
     m_isPolling = startsAt <= now;
     if (!m_isPolling) {
-        m_pollTimer.expires_after(startsAt - now);
-        m_pollTimer.async_wait([this](std::error_code error) {
-            if (!error)
-                pollOperatorLog();
-        });
+        m_pollTimer.startAfter(startsAt - now, [this] { pollOperatorLog(); });
         return;
     }
     bool hasState = m_hasReadState || !m_controller.operators().document.empty();
@@ -242,12 +224,10 @@
 void control_loop::scheduleNextList(bool hasSucceeded)
 {
     bool isLonely = m_localEndpoints.empty() && m_remoteEndpoints.empty();
-    m_listTimer.expires_after(!hasSucceeded ? m_policy.maxRetryDelay
-            : isLonely                      ? m_policy.lonelyListInterval
-                                            : m_policy.listInterval);
-    m_listTimer.async_wait([this, mustRead = !hasSucceeded || isLonely](std::error_code error) {
-        if (error)
-            return;
+    auto interval = !hasSucceeded ? m_policy.maxRetryDelay
+        : isLonely                ? m_policy.lonelyListInterval
+                                  : m_policy.listInterval;
+    m_listTimer.startAfter(interval, [this, mustRead = !hasSucceeded || isLonely] {
         if (mustRead || m_isPolling)
             readAnnouncements();
         else
@@ -302,11 +282,7 @@
 {
     for (const auto& endpoint : selectGossipPeers())
         gossipWith(endpoint);
-    m_gossipTimer.expires_after(m_policy.gossipInterval);
-    m_gossipTimer.async_wait([this](std::error_code error) {
-        if (!error)
-            gossip();
-    });
+    m_gossipTimer.startAfter(m_policy.gossipInterval, [this] { gossip(); });
 }
 
 void control_loop::gossipWith(const std::string& endpoint)
--- a/packages/proxy/src/control_loop.h
+++ b/packages/proxy/src/control_loop.h
@@ -11,6 +11,7 @@
 #include "gossip_partners.h"
 #include "interrupted_request.h"
 #include "log_reader_duty.h"
+#include "one_shot_timer.h"
 #include "peer_choice.h"
 #include "proxy_metrics.h"
 
@@ -123,7 +124,7 @@
     std::vector<std::string> selectEndpoints(const std::vector<std::string>& candidates, std::size_t count);
     void mergeAnnouncements(const std::vector<instance_announcement>& updates);
     bool isFollowingLog() const { return m_isPolling && !m_isReadingState && !m_isStoreUnavailable; }
-    void scheduleRetry(asio::steady_timer& timer, duration& delay, std::function<void()> operation);
+    void scheduleRetry(one_shot_timer& timer, duration& delay, std::function<void()> operation);
     void updateStoreStatus(bool hasSucceeded, std::string_view call);
     void recordTransfer(std::string_view source, std::size_t bytes, instant startedAt);
 
@@ -136,11 +137,11 @@
     event_log& m_log;
     proxy_metrics& m_metrics;
     hooks m_hooks;
-    asio::steady_timer m_pollTimer;
-    asio::steady_timer m_announceTimer;
-    asio::steady_timer m_listTimer;
-    asio::steady_timer m_gossipTimer;
-    asio::steady_timer m_publicationTimer;
+    one_shot_timer m_pollTimer;
+    one_shot_timer m_announceTimer;
+    one_shot_timer m_listTimer;
+    one_shot_timer m_gossipTimer;
+    one_shot_timer m_publicationTimer;
     duration m_pollRetryDelay;
     duration m_announceRetryDelay;
     struct {
--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -57,10 +57,7 @@
 
 void http_client_connection::startTimer(duration timeout, http_call_failure failure)
 {
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([self = handle<http_client_connection>(this), failure](std::error_code error) {
-        if (error)
-            return;
+    m_timer.startAfter(timeout, [self = handle<http_client_connection>(this), failure] {
         self->m_opened ? self->finishOpening(asio::error::timed_out) : self->fail(failure);
     });
 }
@@ -68,26 +65,28 @@
 void http_client_connection::connect(const tcp::endpoint& server, duration timeout)
 {
     startTimer(timeout, http_call_failure::notConnected);
-    m_socket.async_connect(server, [self = handle<http_client_connection>(this)](std::error_code error) {
-        if (!self->m_done && !self->m_opened)
-            return;
-        if (error) {
-            self->m_opened ? self->finishOpening(error) : self->fail(http_call_failure::notConnected);
-            return;
-        }
-        enableKeepAlive(self->m_socket);
-        self->m_isOpen = true;
-        self->m_isKeepAlive = true;
-        self->m_reader.emplace(HTTP_RESPONSE, self->m_limits,
-            http_reader::hooks {
-                [raw = self.get()](http_message&& response) { raw->onResponse(std::move(response)); },
-                nullptr, [raw = self.get()] { return raw->m_isHeadRequest; } });
-        if (self->m_opened)
-            self->finishOpening({});
-        else
-            self->send();
-        self->readMore();
-    });
+    auto attempt = m_closeCount;
+    m_socket.async_connect(
+        server, [self = handle<http_client_connection>(this), attempt](std::error_code error) {
+            if (attempt != self->m_closeCount)
+                return;
+            if (error) {
+                self->m_opened ? self->finishOpening(error) : self->fail(http_call_failure::notConnected);
+                return;
+            }
+            enableKeepAlive(self->m_socket);
+            self->m_isOpen = true;
+            self->m_isKeepAlive = true;
+            self->m_reader.emplace(HTTP_RESPONSE, self->m_limits,
+                http_reader::hooks {
+                    [raw = self.get()](http_message&& response) { raw->onResponse(std::move(response)); },
+                    nullptr, [raw = self.get()] { return raw->m_isHeadRequest; } });
+            if (self->m_opened)
+                self->finishOpening({});
+            else
+                self->send();
+            self->readMore();
+        });
 }
 
 void http_client_connection::open(const tcp::endpoint& server, duration timeout, http_open_callback done)
@@ -112,7 +111,9 @@
     asio::async_write(m_socket, asio::buffer(m_output),
         // The server may respond before it has read the whole request, so a write error is ignored here and
         // the outcome is left to the reader.
-        [self = handle<http_client_connection>(this)](std::error_code, std::size_t) {
+        [self = handle<http_client_connection>(this), attempt = m_closeCount](std::error_code, std::size_t) {
+            if (attempt != self->m_closeCount)
+                return;
             self->m_isWriting = false;
             if (!self->m_done && !self->m_isKeepAlive)
                 self->close();
@@ -125,15 +126,16 @@
         return;
     m_isReading = true;
     m_socket.async_read_some(asio::buffer(m_input),
-        [self = handle<http_client_connection>(this)](
-            std::error_code error, std::size_t length) { self->onRead(error, length); });
+        [self = handle<http_client_connection>(this), attempt = m_closeCount](
+            std::error_code error, std::size_t length) {
+            if (attempt == self->m_closeCount)
+                self->onRead(error, length);
+        });
 }
 
 void http_client_connection::onRead(std::error_code error, std::size_t length)
 {
     m_isReading = false;
-    if (!m_isOpen)
-        return;
     if (!error && !m_done) {
         // Data after a complete response belongs to no request.
         close();
@@ -189,11 +191,8 @@
 void http_client_connection::finishRequestBody()
 {
     m_isKeepAlive = false;
-    m_timer.expires_after(remainingBodyTimeout);
-    m_timer.async_wait([self = handle<http_client_connection>(this)](std::error_code error) {
-        if (!error)
-            self->close();
-    });
+    m_timer.startAfter(
+        remainingBodyTimeout, [self = handle<http_client_connection>(this)] { self->close(); });
 }
 
 void http_client_connection::onResponse(http_message&& response)
@@ -228,7 +227,10 @@
 
 void http_client_connection::close()
 {
+    ++m_closeCount;
     m_isOpen = false;
+    m_isReading = false;
+    m_isWriting = false;
     m_timer.cancel();
     std::error_code ignored; // The socket is discarded anyway.
     m_socket.close(ignored);
--- a/packages/proxy/src/http_client.h
+++ b/packages/proxy/src/http_client.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "http_reader.h"
-#include "rcu_cell.h"
+#include "one_shot_timer.h"
 
 #include <asio.hpp>
 #include <tl/expected.hpp>
@@ -75,7 +75,8 @@
     void close();
 
     asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    one_shot_timer
+        m_timer; ///< Of the present step: connecting, waiting for the response, finishing the body.
     http_reader_limits m_limits;
     std::optional<http_reader> m_reader;
     std::array<char, 16'384> m_input {};
@@ -84,6 +85,7 @@
     http_open_callback m_opened; ///< Set while open() is in progress.
     duration m_timeout {};
     std::optional<duration> m_silenceTimeout;
+    std::uint64_t m_closeCount = 0; ///< Tells the handlers of a socket that was closed since.
     bool m_isOpen = false;
     bool m_isReading = false;
     bool m_isKeepAlive = true;
--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -191,11 +191,8 @@
         m_isLingering = true;
         std::error_code ignored; // The client may have closed the connection already.
         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-        m_timer.expires_after(lingerTimeout);
-        m_timer.async_wait([self = handle<http_server_connection>(this)](std::error_code error) {
-            if (!error)
-                self->closeConnection();
-        });
+        m_timer.startAfter(
+            lingerTimeout, [self = handle<http_server_connection>(this)] { self->closeConnection(); });
         readMore();
     }
 
@@ -214,11 +211,8 @@
         auto next = m_reader.isInHead() ? m_headStartedAt + m_limits.headerTimeout
                                         : m_lastActivity + m_limits.idleTimeout;
         constexpr duration minCheckInterval = std::chrono::milliseconds(200);
-        m_timer.expires_after(std::max(next - now, minCheckInterval));
-        m_timer.async_wait([self = handle<http_server_connection>(this)](std::error_code error) {
-            if (!error)
-                self->checkTimeouts();
-        });
+        m_timer.startAfter(std::max(next - now, minCheckInterval),
+            [self = handle<http_server_connection>(this)] { self->checkTimeouts(); });
     }
 
     void cancelPending()
@@ -250,7 +244,7 @@
 
     http_server& m_server;
     tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    one_shot_timer m_timer;
     http_server_limits m_limits;
     http_reader m_reader;
     std::array<char, readBufferBytes> m_input {};
--- a/packages/proxy/src/http_server.h
+++ b/packages/proxy/src/http_server.h
@@ -6,7 +6,7 @@
 
 #include "connection_acceptor.h"
 #include "http_reader.h"
-#include "rcu_cell.h"
+#include "one_shot_timer.h"
 
 #include <asio.hpp>
 #include <boost/intrusive/list.hpp>
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -90,10 +90,8 @@
     void scheduleCheck(instant present)
     {
         m_deadline = std::min(m_deadline, m_router.m_hooks.drainDeadline());
-        m_timer.expires_at(std::min(m_deadline, present + m_router.m_policy.attemptCheckInterval));
-        m_timer.async_wait([self = handle<ingress_request>(this)](std::error_code error) {
-            if (error || self->m_isDone)
-                return;
+        auto next = std::min(m_deadline, present + m_router.m_policy.attemptCheckInterval);
+        m_timer.startAt(next, [self = handle<ingress_request>(this)] {
             auto present = self->now();
             if (present >= self->m_deadline) {
                 self->handleDeadline();
@@ -548,7 +546,7 @@
 
     ingress_router& m_router;
     handle<http_responder> m_responder;
-    asio::steady_timer m_timer;
+    one_shot_timer m_timer;
     ingress_context m_context;
     backend_selector m_selector;
     service_id m_service;
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -223,7 +223,7 @@
     {
     }
 
-    asio::steady_timer timer;
+    one_shot_timer timer;
     handle<peer_call> call;
     std::string endpoint;
     std::string type;
@@ -245,10 +245,7 @@
 
 void peer_forwarder::scheduleTimeout(const handle<pending_request>& pending)
 {
-    pending->timer.expires_after(pending->timeout);
-    pending->timer.async_wait([this, pending](std::error_code error) {
-        if (error || !pending->done)
-            return;
+    pending->timer.startAfter(pending->timeout, [this, pending] {
         auto receivedBytes = pending->call ? pending->call->receivedBytes() : 0;
         if (receivedBytes > std::exchange(pending->receivedBytes, receivedBytes)) {
             scheduleTimeout(pending);
--- a/packages/proxy/src/peer_forwarder.h
+++ b/packages/proxy/src/peer_forwarder.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "backend_gateway.h"
+#include "one_shot_timer.h"
 #include "peer_link.h"
 #include "reachability.h"
 
--- a/packages/proxy/src/peer_link.cpp
+++ b/packages/proxy/src/peer_link.cpp
@@ -350,11 +350,7 @@
 void peer_link::connect(const tcp::endpoint& server)
 {
     handle<peer_link> self(this);
-    m_timer.expires_after(m_policy.connectTimeout);
-    m_timer.async_wait([self](std::error_code error) {
-        if (!error && !self->m_isConnected)
-            self->close();
-    });
+    m_timer.startAfter(m_policy.connectTimeout, [self] { self->close(); });
     m_socket.async_connect(server, [self](std::error_code error) {
         if (self->m_isClosed)
             return;
@@ -560,11 +556,7 @@
             m_nextCheck = std::min(m_nextCheck, idleEnd());
     }
     m_nextCheck = std::max(m_nextCheck, now + minCheckInterval);
-    m_timer.expires_at(m_nextCheck);
-    m_timer.async_wait([self = handle<peer_link>(this)](std::error_code error) {
-        if (!error)
-            self->checkKeepalive();
-    });
+    m_timer.startAt(m_nextCheck, [self = handle<peer_link>(this)] { self->checkKeepalive(); });
 }
 
 void peer_link::failStreams()
--- a/packages/proxy/src/peer_link.h
+++ b/packages/proxy/src/peer_link.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "http_message.h"
-#include "rcu_cell.h"
+#include "one_shot_timer.h"
 
 #include <asio.hpp>
 #include <nghttp2/nghttp2.h>
@@ -189,7 +189,7 @@
     void failStreams();
 
     asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    one_shot_timer m_timer;
     bool m_isClient;
     peer_link_policy m_policy;
     hooks m_hooks;
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -470,11 +470,8 @@
 {
     if (auto settings = reload())
         m_controlLoop->setSeeds(settings->seeds);
-    m_reloadTimer.expires_after(reloadInterval);
-    m_reloadTimer.async_wait([this, reload = std::move(reload)](std::error_code error) {
-        if (!error)
-            reloadPeriodically(reload);
-    });
+    m_reloadTimer.startAfter(
+        reloadInterval, [this, reload = std::move(reload)] { reloadPeriodically(reload); });
 }
 
 void proxy_node::stop()
@@ -504,11 +501,7 @@
         m_control.stop();
         return;
     }
-    m_stopTimer.expires_after(idleCheckInterval);
-    m_stopTimer.async_wait([this](std::error_code error) {
-        if (!error)
-            stopWhenIdle();
-    });
+    m_stopTimer.startAfter(idleCheckInterval, [this] { stopWhenIdle(); });
 }
 
 } // namespace pomelohub
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -90,8 +90,8 @@
     std::unique_ptr<http_server> m_metricsServer;
     std::unique_ptr<connection_acceptor> m_peerAcceptor;
     asio::signal_set m_signals;
-    asio::steady_timer m_stopTimer;
-    asio::steady_timer m_reloadTimer;
+    one_shot_timer m_stopTimer;
+    one_shot_timer m_reloadTimer;
     std::size_t m_nextWorker = 0;
     std::atomic<bool> m_isStopping { false };
     instant m_stopStartedAt {};
