Keep calls and requests until their HTTP/2 streams have closed

Cause: the HTTP/2 session keeps a plain pointer to a call, as the source of its payload, until the stream closes. The link freed a call when it ended for its owner: an offer that is refused after its grant ends while its payload is being sent. cancel() had a list of its own, close() freed everything inside callbacks of the session, and a call on a closed link was still submitted.

Now one rule holds for each end: the link owns calls and requests from submission until the session closes the stream or is deleted; an end only detaches them. A reply before the whole payload was sent resets the stream.

Evidence: test/proxy/peer_stream_ends.cpp ends partly sent payloads in each way. On with AddressSanitizer the refusal after the grant is reported as heap-use-after-free in readCallPayload (1 of 1); the other ends passed there, and keep the rule.

--- a/packages/proxy/src/peer_link.cpp
+++ b/packages/proxy/src/peer_link.cpp
@@ -43,14 +43,17 @@
         return headers;
     }
 
-    ssize_t copyPayload(const std::string& payload, std::size_t& sentBytes, std::uint8_t* buffer,
+    /** Copies the next part of \p payload, which is freed after its last part. */
+    ssize_t copyPayload(std::string& payload, std::size_t& sentBytes, std::uint8_t* buffer,
         std::size_t length, std::uint32_t* flags)
     {
         auto count = std::min(length, payload.size() - sentBytes);
         std::copy_n(payload.data() + sentBytes, count, buffer);
         sentBytes += count;
-        if (sentBytes == payload.size())
+        if (sentBytes == payload.size()) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
+            payload = {};
+        }
         return static_cast<ssize_t>(count);
     }
 
@@ -84,45 +87,6 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(nonNegative).count());
 }
 
-void peer_call::commit()
-{
-    m_isCommitted = true;
-    if (m_link)
-        m_link->resume(m_stream);
-}
-
-void peer_call::cancel()
-{
-    m_hooks = {};
-    auto link = std::move(m_link);
-    m_link = nullptr;
-    if (!link || m_stream < 0)
-        return;
-    auto stream = m_stream;
-    link->reset(stream);
-    link->m_calls.erase(stream);
-}
-
-void peer_request::grant()
-{
-    if (!m_link)
-        return;
-    auto headers = makeHeaders(kindGrant, {});
-    nghttp2_submit_headers(
-        m_link->m_session, NGHTTP2_FLAG_NONE, m_stream, nullptr, headers.data(), headers.size(), nullptr);
-    m_link->writePending();
-}
-
-void peer_request::reply(peer_message message)
-{
-    onCancelled = nullptr;
-    onPayloadComplete = nullptr;
-    if (!m_link)
-        return;
-    m_payload = std::move(message.payload);
-    m_link->submitReply(*this, message.fields);
-}
-
 /** Callbacks of the nghttp2 session. */
 struct peer_link::callbacks {
     static peer_link& linkOf(void* user) { return *static_cast<peer_link*>(user); }
@@ -148,7 +112,7 @@
             { reinterpret_cast<const char*>(value), valueLength } };
         if (link.m_isClient) {
             auto found = link.m_calls.find(frame->hd.stream_id);
-            if (found == link.m_calls.end())
+            if (found == link.m_calls.end() || found->second->m_isEnded)
                 return 0;
             if (field.name == kindField)
                 found->second->m_isReplyStarted = field.value == kindReply;
@@ -172,10 +136,13 @@
         auto& link = linkOf(user);
         std::string_view bytes(reinterpret_cast<const char*>(data), length);
         if (link.m_isClient) {
-            if (auto found = link.m_calls.find(stream); found != link.m_calls.end())
+            auto found = link.m_calls.find(stream);
+            if (found != link.m_calls.end() && !found->second->m_isEnded)
                 found->second->m_reply.payload.append(bytes);
-        } else if (auto found = link.m_requests.find(stream); found != link.m_requests.end()) {
-            found->second->message.payload.append(bytes);
+        } else {
+            auto found = link.m_requests.find(stream);
+            if (found != link.m_requests.end() && !found->second->m_isReplied)
+                found->second->message.payload.append(bytes);
         }
         return 0;
     }
@@ -196,7 +163,7 @@
     static void handleReplyFrame(peer_link& link, std::int32_t stream, bool isEnd)
     {
         auto found = link.m_calls.find(stream);
-        if (found == link.m_calls.end())
+        if (found == link.m_calls.end() || found->second->m_isEnded)
             return;
         auto call = found->second;
         if (!call->m_isReplyStarted) {
@@ -206,12 +173,9 @@
         }
         if (!isEnd)
             return;
-        if (!call->m_isCommitted)
-            link.reset(stream); // The server refused the offer, so the payload is not sent.
-        link.m_calls.erase(stream);
-        call->m_link = nullptr;
-        auto hooks = std::move(call->m_hooks);
-        call->m_hooks = {};
+        if (!call->m_isPayloadSent)
+            link.reset(stream); // The server has refused the request, also if it had granted it before.
+        auto hooks = endCall(*call);
         if (hooks.onReply)
             hooks.onReply(std::move(call->m_reply));
     }
@@ -253,7 +217,9 @@
 
     static void endRequest(peer_request& request)
     {
+        request.m_isEnded = true;
         request.m_link = nullptr;
+        request.m_payload = {};
         auto cancelled = std::move(request.onCancelled);
         request.onCancelled = nullptr;
         request.onPayloadComplete = nullptr;
@@ -261,11 +227,19 @@
             cancelled();
     }
 
-    static void failCall(peer_call& call)
+    /** Ends the call for its owner and frees what it has not sent. The stream may remain open. \return the
+     * hooks; calls after the first return none. */
+    static peer_call::hooks endCall(peer_call& call)
     {
+        call.m_isEnded = true;
         call.m_link = nullptr;
-        auto hooks = std::move(call.m_hooks);
-        call.m_hooks = {};
+        call.m_payload = {};
+        return std::exchange(call.m_hooks, {});
+    }
+
+    static void failCall(peer_call& call)
+    {
+        auto hooks = endCall(call);
         if (hooks.onFailure)
             hooks.onFailure(call.m_isCommitted ? peer_call_failure::streamLost : peer_call_failure::notSent);
     }
@@ -274,15 +248,21 @@
         std::uint32_t* flags, nghttp2_data_source* source, void*)
     {
         auto& call = *static_cast<peer_call*>(source->ptr);
+        if (call.m_isEnded)
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE; // Resets the stream.
         if (!call.m_isCommitted)
             return NGHTTP2_ERR_DEFERRED;
-        return copyPayload(call.m_payload, call.m_sentBytes, buffer, length, flags);
+        auto count = copyPayload(call.m_payload, call.m_sentBytes, buffer, length, flags);
+        call.m_isPayloadSent = (*flags & NGHTTP2_DATA_FLAG_EOF) != 0;
+        return count;
     }
 
     static ssize_t readReplyPayload(nghttp2_session*, std::int32_t, std::uint8_t* buffer, std::size_t length,
         std::uint32_t* flags, nghttp2_data_source* source, void*)
     {
         auto& request = *static_cast<peer_request*>(source->ptr);
+        if (request.m_isEnded)
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         return copyPayload(request.m_payload, request.m_sentBytes, buffer, length, flags);
     }
 
@@ -299,6 +279,42 @@
     }
 };
 
+void peer_call::commit()
+{
+    m_isCommitted = true;
+    if (auto link = m_link)
+        link->resume(m_stream);
+}
+
+void peer_call::cancel()
+{
+    auto link = m_link;
+    peer_link::callbacks::endCall(*this);
+    if (link && m_stream >= 0)
+        link->reset(m_stream);
+}
+
+void peer_request::grant()
+{
+    if (!m_link)
+        return;
+    auto headers = makeHeaders(kindGrant, {});
+    nghttp2_submit_headers(
+        m_link->m_session, NGHTTP2_FLAG_NONE, m_stream, nullptr, headers.data(), headers.size(), nullptr);
+    m_link->writePending();
+}
+
+void peer_request::reply(peer_message message)
+{
+    onCancelled = nullptr;
+    onPayloadComplete = nullptr;
+    if (!m_link || std::exchange(m_isReplied, true))
+        return;
+    m_payload = std::move(message.payload);
+    auto link = m_link;
+    link->submitReply(*this, message.fields);
+}
+
 peer_link::peer_link(tcp::socket socket, bool isClient, peer_link_policy policy, hooks hooks)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
@@ -382,11 +398,13 @@
 
 void peer_link::submitCall(peer_call& call, const std::vector<http_field>& fields, bool isOffer)
 {
-    auto headers = makeHeaders(isOffer ? kindOffer : kindRequest, fields);
-    nghttp2_data_provider provider { { .ptr = &call }, callbacks::readCallPayload };
-    call.m_stream
-        = nghttp2_submit_request(m_session, nullptr, headers.data(), headers.size(), &provider, nullptr);
-    if (m_isClosed || call.m_stream < 0) {
+    if (!m_isClosed) {
+        auto headers = makeHeaders(isOffer ? kindOffer : kindRequest, fields);
+        nghttp2_data_provider provider { { .ptr = &call }, callbacks::readCallPayload };
+        call.m_stream
+            = nghttp2_submit_request(m_session, nullptr, headers.data(), headers.size(), &provider, nullptr);
+    }
+    if (call.m_stream < 0) {
         // The failure is reported asynchronously, so that the caller has the handle before its hook runs.
         asio::post(m_socket.get_executor(), [failedCall = handle<peer_call>(&call)] {
             failedCall->m_isCommitted = false;
@@ -415,9 +433,6 @@
 
 void peer_link::reset(std::int32_t stream)
 {
-    // The data provider points to the call, which must stay alive until the RST_STREAM frame is written.
-    if (auto found = m_calls.find(stream); found != m_calls.end())
-        m_cancelledCalls.push_back(found->second);
     nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
     writePending();
 }
@@ -454,7 +469,7 @@
         return;
     m_output.clear();
     m_isInsideSession = true;
-    while (m_output.size() < maxWriteBytes) {
+    while (m_output.size() < maxWriteBytes && !m_isClosed) {
         const std::uint8_t* data = nullptr;
         auto length = nghttp2_session_mem_send(m_session, &data);
         if (length <= 0)
@@ -462,8 +477,6 @@
         m_output.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(length));
     }
     m_isInsideSession = false;
-    if (m_output.size() < maxWriteBytes)
-        m_cancelledCalls.clear();
     if (m_output.empty() || m_isClosed)
         return;
     m_isWriting = true;
@@ -559,15 +572,12 @@
     m_timer.startAt(m_nextCheck, [self = handle<peer_link>(this)] { self->checkKeepalive(); });
 }
 
-void peer_link::failStreams()
+// Hooks may cancel other calls; neither that nor a new call on a closed link changes the maps.
+void peer_link::endStreams()
 {
-    auto calls = std::move(m_calls);
-    m_calls.clear();
-    for (const auto& [stream, call] : calls)
+    for (const auto& [stream, call] : m_calls)
         callbacks::failCall(*call);
-    auto requests = std::move(m_requests);
-    m_requests.clear();
-    for (const auto& [stream, request] : requests)
+    for (const auto& [stream, request] : m_requests)
         callbacks::endRequest(*request);
 }
 
@@ -585,7 +595,7 @@
         for (const auto& [stream, call] : m_calls)
             call->m_isCommitted = false;
     }
-    failStreams();
+    endStreams();
     auto onClosed = std::move(m_hooks.onClosed);
     m_hooks.onClosed = nullptr;
     if (onClosed)
--- a/packages/proxy/src/peer_link.h
+++ b/packages/proxy/src/peer_link.h
@@ -41,7 +41,9 @@
 
 class peer_link;
 
-/** The client side of a stream. Thread safety: the thread of its link. */
+/** The client side of a stream. The link holds a reference from the submission of the stream until the stream
+ * has closed or the link is destroyed, however the call ends, as its HTTP/2 session keeps a pointer to the
+ * call for that long. Thread safety: the thread of its link. */
 class peer_call : public ref_counted<peer_call> {
 public:
     struct hooks {
@@ -68,20 +70,23 @@
     handle<peer_link> m_link;
     hooks m_hooks;
     std::int32_t m_stream = -1;
-    std::string m_payload;
+    std::string m_payload; ///< Empty once it has been sent or the call has ended.
     std::size_t m_sentBytes = 0;
     bool m_isCommitted = false;
+    bool m_isPayloadSent = false;
     bool m_isReplyStarted = false;
+    bool m_isEnded = false; ///< By a reply, a failure or cancel(); the stream may still be open.
     peer_message m_reply;
 };
 
-/** The server side of a stream. Thread safety: the thread of its link. */
+/** The server side of a stream. The link holds a reference for as long as to a peer_call. Thread safety: the
+ * thread of its link. */
 class peer_request : public ref_counted<peer_request> {
 public:
     /** Grants the offer, so that the client may send its payload. */
     void grant();
 
-    /** Sends the reply. Does nothing when the stream has ended. */
+    /** Sends the reply. Does nothing when the stream has ended or a reply was sent. */
     void reply(peer_message message);
 
     /** Called at most once: when the client cancels or the link closes before reply() was called. */
@@ -98,9 +103,11 @@
 
     handle<peer_link> m_link;
     std::int32_t m_stream = -1;
-    std::string m_payload;
+    std::string m_payload; ///< Of the reply; empty once it has been sent or the stream has ended.
     std::size_t m_sentBytes = 0;
     bool m_isDelivered = false;
+    bool m_isReplied = false;
+    bool m_isEnded = false;
 };
 
 using peer_request_hook = std::function<void(handle<peer_request>)>;
@@ -163,6 +170,8 @@
     bool isOpen() const { return !m_isClosed; }
     bool isConnected() const { return m_isConnected && !m_isClosed; }
     bool isUnresponsive() const { return m_isUnresponsive; }
+
+    /** Number of streams that have not closed. */
     std::size_t streamCount() const { return m_calls.size() + m_requests.size(); }
 
 private:
@@ -186,7 +195,7 @@
     void recordStreamStart();
     void recordReceived();
     void setUnresponsive(bool isUnresponsive);
-    void failStreams();
+    void endStreams();
 
     asio::ip::tcp::socket m_socket;
     one_shot_timer m_timer;
@@ -194,10 +203,10 @@
     peer_link_policy m_policy;
     hooks m_hooks;
     nghttp2_session* m_session = nullptr;
+    /** The streams that the session knows. Entries are removed only when it closes a stream, so that its
+     * pointers to calls and requests stay valid. */
     std::unordered_map<std::int32_t, handle<peer_call>> m_calls;
     std::unordered_map<std::int32_t, handle<peer_request>> m_requests;
-    /** Cancelled calls to which the session may still point. */
-    std::vector<handle<peer_call>> m_cancelledCalls;
     std::array<std::uint8_t, 16'384> m_input {};
     std::string m_output;
     instant m_lastReceived {};
