Take the end of a stream for that of a response only if the request went out

Cause: the pending write takes the error of the reset, so the read sees only the end of the stream, which was taken as the end of the response. A server that pauses its reading for longer than TCP_USER_TIMEOUT gave the same end without any disruption, as the kernel counts a closed receive window as unacknowledged data.

A response without a length now counts as whole if its stream ended in order and the request was written, or if the server announced that it reads no more and no write has failed in the same turn of the loop. Requests that may fill a receive window are sent without TCP_USER_TIMEOUT; the timeout of the call bounds them. Related: the response of such a stream stayed in the connection and answered the next call on it.

--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -28,6 +28,16 @@
         return std::chrono::seconds(seconds);
     }
 
+    /** Larger requests may fill the receive window of a server that pauses its reading. */
+    constexpr std::size_t maxWindowedRequestBytes = 16 << 10;
+
+    /** Whether the server has announced that it reads no further request bytes. */
+    bool announcesClose(const http_message& response)
+    {
+        auto options = response.field("connection");
+        return options && equalsIgnoringCase(*options, "close");
+    }
+
 } // namespace
 
 http_client_connection::http_client_connection(asio::io_context& context, http_reader_limits limits)
@@ -49,6 +59,7 @@
     m_silenceTimeout = silenceTimeout;
     m_isHeadRequest = request.method == "HEAD";
     m_receivedBytes = 0;
+    m_response.reset();
     if (m_isOpen)
         send();
     else
@@ -75,6 +86,7 @@
                 return;
             }
             enableKeepAlive(self->m_socket);
+            self->m_mayFillWindow = false;
             self->m_isOpen = true;
             self->m_isKeepAlive = true;
             self->m_reader.emplace(HTTP_RESPONSE, self->m_limits,
@@ -107,19 +119,33 @@
 void http_client_connection::send()
 {
     m_isWriting = true;
+    m_hasWriteFailed = false;
+    m_hasStreamEnded = false;
+    // A closed receive window counts as unacknowledged data, so the timeout is for requests that fit it. The
+    // others are bounded by the timeout of the call.
+    bool mayFillWindow = m_output.size() > maxWindowedRequestBytes;
+    if (mayFillWindow != std::exchange(m_mayFillWindow, mayFillWindow))
+        limitUnacknowledgedTime(m_socket, !mayFillWindow);
     startTimer(m_timeout, http_call_failure::noResponse);
     asio::async_write(m_socket, asio::buffer(m_output),
-        // The server may respond before it has read the whole request, so a write error is ignored here and
-        // the outcome is left to the reader.
-        [self = handle<http_client_connection>(this), attempt = m_closeCount](std::error_code, std::size_t) {
-            if (attempt != self->m_closeCount)
-                return;
-            self->m_isWriting = false;
-            if (!self->m_done && !self->m_isKeepAlive)
-                self->close();
+        [self = handle<http_client_connection>(this), attempt = m_closeCount](
+            std::error_code error, std::size_t) {
+            if (attempt == self->m_closeCount)
+                self->onWritten(error);
         });
 }
 
+void http_client_connection::onWritten(std::error_code error)
+{
+    m_isWriting = false;
+    // The server may respond before it has read the whole request, so the outcome is left to the reader.
+    m_hasWriteFailed = static_cast<bool>(error);
+    if (!m_done && !m_isKeepAlive)
+        close();
+    else if (m_hasStreamEnded)
+        finishAtStreamEnd();
+}
+
 void http_client_connection::readMore()
 {
     if (m_isReading || !m_isOpen)
@@ -150,12 +176,8 @@
                 onIdleClosed();
             return;
         }
-        // A response without a length ends when the server closes the connection; a reset truncates it.
         if (error == asio::error::eof && m_reader->finish() && m_response) {
-            m_isKeepAlive = false;
-            auto response = std::move(*m_response);
-            close();
-            finish(std::move(response));
+            onStreamEnd();
             return;
         }
         fail(m_receivedBytes > 0 ? http_call_failure::invalidResponse : http_call_failure::noResponse);
@@ -186,6 +208,38 @@
     readMore();
 }
 
+// A response without a length is whole if the server has ended it in order. After a reset, a pending write
+// may take the error, so that the read only sees the end of the stream. Therefore the end counts once the
+// request has been written, or while no write has failed if the server has announced that it reads no more.
+void http_client_connection::onStreamEnd()
+{
+    m_hasStreamEnded = true;
+    if (!m_isWriting) {
+        finishAtStreamEnd();
+        return;
+    }
+    if (!announcesClose(*m_response))
+        return; // onWritten() decides.
+    // A write that has taken the error has been queued by now, but may not have been handled yet.
+    asio::post(
+        m_socket.get_executor(), [self = handle<http_client_connection>(this), attempt = m_closeCount] {
+            if (attempt == self->m_closeCount)
+                self->finishAtStreamEnd();
+        });
+}
+
+void http_client_connection::finishAtStreamEnd()
+{
+    if (m_hasWriteFailed) {
+        fail(http_call_failure::invalidResponse);
+        return;
+    }
+    auto response = std::move(*m_response);
+    m_response.reset();
+    close();
+    finish(std::move(response));
+}
+
 // The server responded before it had read the whole request. The rest of the body is still sent, but the
 // connection is not reused.
 void http_client_connection::finishRequestBody()
--- a/packages/proxy/src/http_client.h
+++ b/packages/proxy/src/http_client.h
@@ -67,6 +67,9 @@
     void readMore();
     void finishOpening(std::error_code error);
     void onRead(std::error_code error, std::size_t length);
+    void onWritten(std::error_code error);
+    void onStreamEnd();
+    void finishAtStreamEnd();
     void onResponse(http_message&& response);
     void fail(http_call_failure failure);
     void finish(http_call_result result);
@@ -91,6 +94,9 @@
     bool m_isKeepAlive = true;
     bool m_isHeadRequest = false;
     bool m_isWriting = false;
+    bool m_hasWriteFailed = false;
+    bool m_mayFillWindow = false; ///< The request may be larger than the receive window of the server.
+    bool m_hasStreamEnded = false; ///< The server has ended its side of the connection, in order.
     std::size_t m_receivedBytes = 0;
     std::optional<std::chrono::seconds> m_keepAliveTimeout;
     std::optional<http_message> m_response;
--- a/packages/proxy/src/socket_options.cpp
+++ b/packages/proxy/src/socket_options.cpp
@@ -39,7 +39,12 @@
     setTcpOption(socket, TCP_KEEPIDLE, keepAliveIdle.count());
     setTcpOption(socket, TCP_KEEPINTVL, keepAliveInterval.count());
     setTcpOption(socket, TCP_KEEPCNT, keepAliveProbes);
-    setTcpOption(socket, TCP_USER_TIMEOUT, userTimeout.count());
+    limitUnacknowledgedTime(socket, true);
+}
+
+void limitUnacknowledgedTime(asio::ip::tcp::socket& socket, bool isLimited)
+{
+    setTcpOption(socket, TCP_USER_TIMEOUT, isLimited ? userTimeout.count() : 0);
 }
 
 } // namespace pomelohub
--- a/packages/proxy/src/socket_options.h
+++ b/packages/proxy/src/socket_options.h
@@ -17,4 +17,9 @@
  * Thread safety: that of \p socket. */
 void enableKeepAlive(asio::ip::tcp::socket& socket);
 
+/** Sets TCP_USER_TIMEOUT again, or clears it if \p isLimited is false. The kernel also counts the time in
+ * which the receiver takes no more data, so the limit is not for data that may fill its window. A failure is
+ * ignored, as above. Thread safety: that of \p socket. */
+void limitUnacknowledgedTime(asio::ip::tcp::socket& socket, bool isLimited);
+
 } // namespace pomelohub
