--- a/packages/decisions/src/request_error.cpp
+++ b/packages/decisions/src/request_error.cpp
@@ -38,6 +38,7 @@
         reason_entry { refusal_reason::deadlineExceeded, "deadline-exceeded", 504 },
         reason_entry { refusal_reason::pathFailed, "path-failed", 502 },
         reason_entry { refusal_reason::cancelled, "cancelled", 499 },
+        reason_entry { refusal_reason::memoryExhausted, "memory-exhausted", 503 },
     };
 
     const reason_entry& entryOf(refusal_reason reason)
--- a/packages/decisions/src/request_error.h
+++ b/packages/decisions/src/request_error.h
@@ -45,6 +45,7 @@
     deadlineExceeded,
     pathFailed,
     cancelled,
+    memoryExhausted,
 };
 
 /** Why a request was refused, and what its caller needs to know to retry it. */
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -294,6 +294,10 @@
             false);
         return;
     }
+    if (failure == http_call_failure::memoryExhausted) {
+        handleOversizedResponse(request, now);
+        return;
+    }
     bool isPastDeadline = now >= request.m_deadline;
     if (!isPastDeadline) {
         recordOutcome(request, backend_outcome::broken, now);
@@ -312,6 +316,24 @@
     finish(request, std::move(reply));
 }
 
+/** Ends a request whose response this process cannot hold. The server is at fault if it has announced no
+ * length, as it may never end. */
+void backend_gateway::handleOversizedResponse(gateway_request& request, instant now)
+{
+    auto connection = request.m_connection;
+    m_log.write(event_priority::failure, "response_given_up", request.request.id,
+        { { "backend", request.m_backend.text() }, { "after", now - request.m_startedAt },
+            { "received", static_cast<std::uint64_t>(connection->receivedBytes()) },
+            { "has_length", connection->hasResponseLength() } });
+    if (!connection->hasResponseLength())
+        recordOutcome(request, backend_outcome::broken, now);
+    m_queue.release(std::nullopt, now);
+    forward_reply reply;
+    reply.response = mayHaveRun(refusal_reason::memoryExhausted, "the response is too large to be held");
+    reply.hasReachedBackend = true;
+    finish(request, std::move(reply));
+}
+
 void backend_gateway::recordOutcome(gateway_request& request, backend_outcome outcome, instant now)
 {
     if (outcome != backend_outcome::served) {
@@ -347,7 +369,7 @@
 {
     if (m_interruptedRequests.empty() || !m_idleConnections.empty() || m_verification)
         return;
-    m_verification.reset(new http_client_connection(m_context, { maxResponseHeaderBytes, maxResponseBytes }));
+    m_verification = makeConnection();
     m_verification->open(m_backend, m_policy.connectTimeout,
         [this](std::error_code error) { handleVerification(std::exchange(m_verification, nullptr), error); });
 }
@@ -420,8 +442,13 @@
             return idle.connection;
         idle.connection->cancel();
     }
-    return handle<http_client_connection>(
-        new http_client_connection(m_context, { maxResponseHeaderBytes, maxResponseBytes }));
+    return makeConnection();
+}
+
+handle<http_client_connection> backend_gateway::makeConnection()
+{
+    return handle<http_client_connection>(new http_client_connection(
+        m_context, { maxResponseHeaderBytes, maxResponseBytes }, m_hooks.throttle));
 }
 
 void backend_gateway::poolConnection(const handle<http_client_connection>& connection, instant now)
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -83,6 +83,7 @@
         std::function<void(const std::vector<interrupted_request>&)> onCrash;
         /** The backend server completed a response to the request. */
         std::function<void(request_fingerprint)> onResponse;
+        receive_throttle* throttle = nullptr; ///< For responses; not limited if null.
     };
 
     backend_gateway(asio::io_context& context, asio::ip::tcp::endpoint backend, service_id service,
@@ -148,6 +149,8 @@
     void handleResult(gateway_request& request, http_call_result result);
     void handleResponse(gateway_request& request, http_message&& response, instant now);
     void handleFailure(gateway_request& request, http_call_failure failure, instant now);
+    handle<http_client_connection> makeConnection();
+    void handleOversizedResponse(gateway_request& request, instant now);
     void recordOutcome(gateway_request& request, backend_outcome outcome, instant now);
     void applyRequestLimit(std::optional<double> perSecond, instant now);
     void handleLeaving(instant now);
--- a/packages/proxy/src/forwarded_request.cpp
+++ b/packages/proxy/src/forwarded_request.cpp
@@ -10,12 +10,13 @@
 
     std::string toFieldText(std::uint64_t value) { return std::to_string(value); }
 
-    std::optional<http_message> parseComplete(http_parser_type type, std::string_view text, bool isHead)
+    std::optional<http_message> parseComplete(
+        http_parser_type type, std::string_view text, bool isHead, const make_body_hook& makeBody)
     {
         std::optional<http_message> complete;
         http_reader reader(type, { unlimited, unlimited },
-            { [&](http_message&& message) { complete = std::move(message); }, nullptr,
-                [=] { return isHead; } });
+            { [&](http_message&& message) { complete = std::move(message); }, nullptr, [=] { return isHead; },
+                makeBody });
         if (reader.read(text) != http_read_error::none)
             return std::nullopt;
         return complete;
@@ -42,7 +43,8 @@
         { "patience", timeFieldText(request.maxQueueTime) },
         { "fingerprint", toFieldText(request.fingerprint) },
     };
-    message.payload = serializeRequest(request.message);
+    message.payload = serializeRequestHead(request.message);
+    message.body = request.message.body;
     return message;
 }
 
@@ -70,9 +72,9 @@
     return request;
 }
 
-std::optional<http_message> decodeRequestPayload(std::string_view payload)
+std::optional<http_message> decodeRequestPayload(std::string_view payload, const make_body_hook& makeBody)
 {
-    return parseComplete(HTTP_REQUEST, payload, false);
+    return parseComplete(HTTP_REQUEST, payload, false, makeBody);
 }
 
 peer_message encodeForwardReply(const forward_reply& reply, bool isHead)
@@ -91,7 +93,9 @@
         { "suspect", report.isSuspect ? "1" : "0" },
     };
     if (reply.response) {
-        message.payload = serializeResponse(*reply.response, false, isHead);
+        message.payload = serializeResponseHead(*reply.response, false, isHead);
+        if (!isHead && mayHaveBody(*reply.response))
+            message.body = reply.response->body;
         return message;
     }
     const auto& refusal = reply.response.error();
@@ -102,7 +106,7 @@
     return message;
 }
 
-forward_reply decodeForwardReply(const peer_message& message, bool isHead)
+forward_reply decodeForwardReply(const peer_message& message, bool isHead, const make_body_hook& makeBody)
 {
     forward_reply reply;
     reply.hasReachedBackend = message.value("reached") == "1";
@@ -121,7 +125,7 @@
             request_error { *outcome, reason, std::string(message.value("detail")), retryAfter });
         return reply;
     }
-    if (auto response = parseComplete(HTTP_RESPONSE, message.payload, isHead))
+    if (auto response = parseComplete(HTTP_RESPONSE, message.payload, isHead, makeBody))
         reply.response = std::move(*response);
     else
         reply.response = mayHaveRun(refusal_reason::pathFailed, "the reply of the other node cannot be read");
--- a/packages/proxy/src/forwarded_request.h
+++ b/packages/proxy/src/forwarded_request.h
@@ -49,14 +49,19 @@
  * when the request id or the service is missing. */
 std::optional<forwarded_request> decodeForwardedFields(const peer_message& message);
 
+/** Makes an empty body for a message that is decoded; may be unset. */
+using make_body_hook = std::function<message_body()>;
+
 /** Decodes the payload of a request. \return nothing when it is not a complete HTTP request. */
-std::optional<http_message> decodeRequestPayload(std::string_view payload);
+std::optional<http_message> decodeRequestPayload(
+    std::string_view payload, const make_body_hook& makeBody = nullptr);
 
 /** Encodes \p reply. \param isHead whether the request was a HEAD request, whose response has no body. */
 peer_message encodeForwardReply(const forward_reply& reply, bool isHead);
 
 /** Decodes a reply. A response that cannot be parsed becomes a refusal of a request that may have run.
  * \param isHead as for encodeForwardReply(). */
-forward_reply decodeForwardReply(const peer_message& message, bool isHead);
+forward_reply decodeForwardReply(
+    const peer_message& message, bool isHead, const make_body_hook& makeBody = nullptr);
 
 } // namespace pomelohub
--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -40,11 +40,14 @@
 
 } // namespace
 
-http_client_connection::http_client_connection(asio::io_context& context, http_reader_limits limits)
+http_client_connection::http_client_connection(
+    asio::io_context& context, http_reader_limits limits, receive_throttle* throttle)
     : m_socket(context)
     , m_timer(context)
     , m_limits(limits)
+    , m_throttle(throttle)
 {
+    m_growth.setHooks({ [this] { readMore(); }, [this] { fail(http_call_failure::memoryExhausted); } });
 }
 
 http_client_connection::~http_client_connection() = default;
@@ -54,7 +57,8 @@
     std::optional<duration> silenceTimeout)
 {
     m_done = std::move(done);
-    m_output = serializeRequest(request);
+    m_requestHead = serializeRequestHead(request);
+    m_requestBody = request.body;
     m_timeout = timeout;
     m_silenceTimeout = silenceTimeout;
     m_isHeadRequest = request.method == "HEAD";
@@ -92,7 +96,11 @@
             self->m_reader.emplace(HTTP_RESPONSE, self->m_limits,
                 http_reader::hooks {
                     [raw = self.get()](http_message&& response) { raw->onResponse(std::move(response)); },
-                    nullptr, [raw = self.get()] { return raw->m_isHeadRequest; } });
+                    nullptr, [raw = self.get()] { return raw->m_isHeadRequest; },
+                    [raw = self.get()] {
+                        return raw->m_throttle ? raw->m_throttle->makeBody(byte_holder::backendResponse)
+                                               : message_body();
+                    } });
             if (self->m_opened)
                 self->finishOpening({});
             else
@@ -123,11 +131,13 @@
     m_hasStreamEnded = false;
     // A closed receive window counts as unacknowledged data, so the timeout is for requests that fit it. The
     // others are bounded by the timeout of the call.
-    bool mayFillWindow = m_output.size() > maxWindowedRequestBytes;
+    bool mayFillWindow = m_requestHead.size() + m_requestBody.size() > maxWindowedRequestBytes;
     if (mayFillWindow != std::exchange(m_mayFillWindow, mayFillWindow))
         limitUnacknowledgedTime(m_socket, !mayFillWindow);
     startTimer(m_timeout, http_call_failure::noResponse);
-    asio::async_write(m_socket, asio::buffer(m_output),
+    std::array<asio::const_buffer, 2> buffers { asio::buffer(m_requestHead),
+        asio::buffer(m_requestBody.view()) };
+    asio::async_write(m_socket, buffers,
         [self = handle<http_client_connection>(this), attempt = m_closeCount](
             std::error_code error, std::size_t) {
             if (attempt == self->m_closeCount)
@@ -138,6 +148,7 @@
 void http_client_connection::onWritten(std::error_code error)
 {
     m_isWriting = false;
+    m_requestBody = {};
     // The server may respond before it has read the whole request, so the outcome is left to the reader.
     m_hasWriteFailed = static_cast<bool>(error);
     if (!m_done && !m_isKeepAlive)
@@ -205,7 +216,16 @@
     }
     if (m_silenceTimeout)
         startTimer(*m_silenceTimeout, http_call_failure::invalidResponse);
-    readMore();
+    continueReading();
+}
+
+void http_client_connection::continueReading()
+{
+    auto next = m_throttle
+        ? m_throttle->recordGrowth(m_growth, m_reader->bodyBytes(), m_reader->remainingBodyBytes())
+        : growth::proceed;
+    if (next == growth::proceed)
+        readMore();
 }
 
 // A response without a length is whole if the server has ended it in order. After a reset, a pending write
@@ -274,6 +294,8 @@
     if (!m_done)
         return;
     handle<http_client_connection> self(this);
+    if (m_throttle)
+        m_throttle->finish(m_growth);
     auto done = std::move(m_done);
     m_done = nullptr;
     done(std::move(result));
@@ -285,6 +307,11 @@
     m_isOpen = false;
     m_isReading = false;
     m_isWriting = false;
+    if (m_throttle)
+        m_throttle->finish(m_growth);
+    if (m_reader)
+        m_reader->takePartialMessage();
+    m_response.reset();
     m_timer.cancel();
     std::error_code ignored; // The socket is discarded anyway.
     m_socket.close(ignored);
--- a/packages/proxy/src/http_client.h
+++ b/packages/proxy/src/http_client.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "http_reader.h"
-#include "one_shot_timer.h"
+#include "receive_throttle.h"
 
 #include <asio.hpp>
 #include <tl/expected.hpp>
@@ -17,6 +17,7 @@
     noResponse, ///< The request was sent, but the response timed out or the connection closed before its
                 ///< first byte.
     invalidResponse, ///< The response was malformed or incomplete.
+    memoryExhausted, ///< The response was given up because this process holds too many bytes.
 };
 
 using http_call_result = tl::expected<http_message, http_call_failure>;
@@ -27,7 +28,9 @@
  * execution context. */
 class http_client_connection : public ref_counted<http_client_connection> {
 public:
-    http_client_connection(asio::io_context& context, http_reader_limits limits);
+    /** \param throttle if set, limits the memory of responses; it must outlive the connection. */
+    http_client_connection(
+        asio::io_context& context, http_reader_limits limits, receive_throttle* throttle = nullptr);
     ~http_client_connection();
     http_client_connection(const http_client_connection&) = delete;
     http_client_connection& operator=(const http_client_connection&) = delete;
@@ -55,6 +58,10 @@
     /** Number of bytes received for the current call, or for the last one when there is none. */
     std::size_t receivedBytes() const { return m_receivedBytes; }
 
+    /** Whether the response to the last call has announced its length. Precondition: a part of it was
+     * received. */
+    bool hasResponseLength() const { return m_reader && m_reader->remainingBodyBytes().has_value(); }
+
     /** Whether another request may be sent on this connection. */
     bool isReusable() const { return m_isOpen && m_isKeepAlive && !m_isWriting; }
 
@@ -67,6 +74,7 @@
     void readMore();
     void finishOpening(std::error_code error);
     void onRead(std::error_code error, std::size_t length);
+    void continueReading();
     void onWritten(std::error_code error);
     void onStreamEnd();
     void finishAtStreamEnd();
@@ -83,7 +91,10 @@
     http_reader_limits m_limits;
     std::optional<http_reader> m_reader;
     std::array<char, 16'384> m_input {};
-    std::string m_output;
+    std::string m_requestHead;
+    message_body m_requestBody;
+    receive_throttle* m_throttle;
+    growing_message m_growth; ///< The response.
     http_call_callback m_done;
     http_open_callback m_opened; ///< Set while open() is in progress.
     duration m_timeout {};
--- a/packages/proxy/src/http_message.cpp
+++ b/packages/proxy/src/http_message.cpp
@@ -86,24 +86,30 @@
     });
 }
 
-std::string serializeRequest(const http_message& message)
+std::string serializeRequestHead(const http_message& message)
 {
     std::string text;
-    text.reserve(512 + message.body.size());
+    text.reserve(512);
     text.append(message.method).append(" ").append(message.target).append(" HTTP/1.1\r\n");
     appendFields(text, message, message.body.size());
-    text.append("\r\n").append(message.body);
+    text.append("\r\n");
     return text;
 }
 
-std::string serializeResponse(const http_message& message, bool isClosing, bool isBodiless)
+std::string serializeRequest(const http_message& message)
+{
+    return serializeRequestHead(message).append(message.body);
+}
+
+bool mayHaveBody(const http_message& message) { return message.status != 204 && message.status != 304; }
+
+std::string serializeResponseHead(const http_message& message, bool isClosing, bool isBodiless)
 {
     std::string text;
-    text.reserve(512 + message.body.size());
+    text.reserve(512);
     text.append("HTTP/1.1 ").append(std::to_string(message.status)).append(" ");
     text.append(message.reason.empty() ? reasonPhrase(message.status) : message.reason).append("\r\n");
-    bool isBodylessStatus = message.status == 204 || message.status == 304;
-    if (isBodylessStatus || isBodiless) {
+    if (isBodiless || !mayHaveBody(message)) {
         for (const auto& [name, value] : message.fields)
             text.append(name).append(": ").append(value).append("\r\n");
     } else {
@@ -112,7 +118,13 @@
     if (isClosing)
         text.append("Connection: close\r\n");
     text.append("\r\n");
-    if (!isBodylessStatus && !isBodiless)
+    return text;
+}
+
+std::string serializeResponse(const http_message& message, bool isClosing, bool isBodiless)
+{
+    auto text = serializeResponseHead(message, isClosing, isBodiless);
+    if (!isBodiless && mayHaveBody(message))
         text.append(message.body);
     return text;
 }
--- a/packages/proxy/src/http_message.h
+++ b/packages/proxy/src/http_message.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core_types.h"
+#include "message_body.h"
 
 #include <optional>
 #include <vector>
@@ -22,7 +23,7 @@
     int status = 0; ///< Responses only.
     std::string reason; ///< Responses only.
     std::vector<http_field> fields; ///< In the order of arrival.
-    std::string body;
+    message_body body;
     bool isKeepAlive = true; ///< Whether the sender keeps the connection open after this message.
 
     /** The value of the first field called \p name (case-insensitive), if any. */
@@ -45,13 +46,22 @@
 /** Compares two strings, ignoring the case of ASCII letters. */
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 
-/** Serializes a request with its body. Content-Length is derived from the body, and left out if the body is
- * empty, except for POST, PUT and PATCH. */
+/** Serializes a request without its body. Content-Length is derived from the body, and left out if the body
+ * is empty, except for POST, PUT and PATCH. */
+std::string serializeRequestHead(const http_message& message);
+
+/** Serializes a request with its body. */
 std::string serializeRequest(const http_message& message);
 
-/** Serializes a response with its body. \param isClosing adds "Connection: close". \param isBodiless leaves
- * the body out and writes the fields of \p message unchanged, including a Content-Length if there is one, as
- * for a response to HEAD. */
+/** Whether a response with the status of \p message can have a body. */
+bool mayHaveBody(const http_message& message);
+
+/** Serializes a response without its body. \param isClosing adds "Connection: close". \param isBodiless
+ * leaves the body out and writes the fields of \p message unchanged, including a Content-Length if there is
+ * one, as for a response to HEAD. */
+std::string serializeResponseHead(const http_message& message, bool isClosing, bool isBodiless);
+
+/** Serializes a response with its body, unless it has none. The parameters are as above. */
 std::string serializeResponse(const http_message& message, bool isClosing, bool isBodiless);
 
 /** Makes a response with the given body. Content-Type is only set if the body is not empty. */
--- a/packages/proxy/src/http_reader.cpp
+++ b/packages/proxy/src/http_reader.cpp
@@ -105,6 +105,14 @@
     return (error == HPE_OK || error == HPE_PAUSED) && !m_isInMessage;
 }
 
+std::optional<std::size_t> http_reader::remainingBodyBytes() const
+{
+    bool isChunked = (m_parser.flags & F_CHUNKED) != 0;
+    if (isChunked || m_parser.content_length == ULLONG_MAX)
+        return std::nullopt;
+    return m_parser.content_length;
+}
+
 int http_reader::onMessageBegin(http_parser* parser)
 {
     auto& reader = readerOf(parser);
@@ -196,7 +204,9 @@
     auto& reader = readerOf(parser);
     if (reader.m_message.body.size() + length > reader.m_limits.maxBodyBytes)
         return reader.fail(http_read_error::bodyTooLarge);
-    reader.m_message.body.append(at, length);
+    if (reader.m_message.body.empty() && reader.m_hooks.makeBody)
+        reader.m_message.body = reader.m_hooks.makeBody();
+    reader.m_message.body.append({ at, length });
     return 0;
 }
 
--- a/packages/proxy/src/http_reader.h
+++ b/packages/proxy/src/http_reader.h
@@ -36,6 +36,8 @@
         /** Returns whether the current response has no body because it responds to a HEAD request. May be
          * unset. */
         std::function<bool()> isBodiless;
+        /** Makes the body of a message, empty, before its first byte. May be unset. */
+        std::function<message_body()> makeBody = nullptr;
     };
 
     http_reader(http_parser_type type, http_reader_limits limits, hooks hooks);
@@ -54,6 +56,16 @@
     bool isInMessage() const { return m_isInMessage; }
     bool isInHead() const { return m_isInMessage && !m_isHeadComplete; }
 
+    /** Number of bytes of the body of the present message that have been received. */
+    std::size_t bodyBytes() const { return m_message.body.size(); }
+
+    /** Number of bytes of its body that are to come, if its length is known. */
+    std::optional<std::size_t> remainingBodyBytes() const;
+
+    /** Moves out what has been received of the present message. Precondition: read() is not called any more.
+     */
+    http_message takePartialMessage() { return std::exchange(m_message, {}); }
+
 private:
     static const http_parser_settings& parserSettings();
     static int onMessageBegin(http_parser* parser);
--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -16,6 +16,11 @@
      */
     constexpr duration lingerTimeout = std::chrono::milliseconds(500);
 
+    /** A client that takes no byte of its response for this long does not keep memory from others. */
+    constexpr duration stallTime = std::chrono::seconds(1);
+
+    constexpr std::size_t largeResponseBytes = 64 << 10; ///< Buffers above it are freed after use.
+
     int statusFor(http_read_error error)
     {
         switch (error) {
@@ -40,9 +45,14 @@
         , m_limits(limits)
         , m_reader(HTTP_REQUEST, limits.reader,
               { [this](http_message&& message) { handleRequest(std::move(message)); },
-                  [this] { sendContinue(); }, nullptr })
+                  [this] { sendContinue(); }, nullptr,
+                  [this] {
+                      return m_throttle ? m_throttle->makeBody(byte_holder::callerRequest) : message_body();
+                  } })
     {
         ++m_server.m_connections;
+        m_growth.setHooks({ [this] { readMore(); }, [this] { giveUpRequest(); } });
+        m_unsentMessage.end = [this] { giveUpResponse(); };
     }
 
     ~http_server_connection() { --m_server.m_connections; }
@@ -52,6 +62,10 @@
 
     void start()
     {
+        if (m_server.m_hooks.throttle) {
+            m_throttle = m_server.m_hooks.throttle();
+            m_unsentCharge = m_throttle->makeCharge(byte_holder::unsentResponse);
+        }
         recordActivity();
         checkTimeouts();
         readMore();
@@ -75,6 +89,8 @@
                 cancelPending();
             }
         }
+        if (m_isWriting)
+            recordUnsent();
         writeMore();
         readMore();
     }
@@ -86,6 +102,8 @@
     {
         if (m_isClosing || m_isDiscardingInput)
             return;
+        if (m_throttle)
+            m_throttle->finish(m_growth);
         bool isLast = !message.isKeepAlive;
         handle<http_responder> responder(
             new http_responder(this, message.method == "HEAD", m_server.m_hooks.clock().monotonic));
@@ -143,17 +161,61 @@
             m_headStartedAt = m_lastActivity;
         if (result != http_read_error::none && !m_isDiscardingInput)
             respondWithError(statusFor(result), "the request cannot be read");
+        if (mayReceiveMore())
+            readMore();
+    }
+
+    /** Whether the memory of the process allows to receive more of the present request, which is given up
+     * otherwise or received later. */
+    bool mayReceiveMore()
+    {
+        if (!m_throttle || !m_reader.isInMessage() || m_isDiscardingInput)
+            return true;
+        auto next = m_throttle->recordGrowth(m_growth, m_reader.bodyBytes(), m_reader.remainingBodyBytes());
+        return next == growth::proceed;
+    }
+
+    /** Refuses a request of which only a part was received, so that it has not run. */
+    void giveUpRequest()
+    {
+        if (m_server.m_hooks.onRequestGivenUp)
+            m_server.m_hooks.onRequestGivenUp(m_reader.takePartialMessage());
+        m_reader.takePartialMessage();
+        respondWithError(503, "this node cannot hold the request at present");
         readMore();
     }
 
+    /** Closes the connection before the response was sent whole. The client sees that it is incomplete. */
+    void giveUpResponse()
+    {
+        if (m_server.m_hooks.onResponseGivenUp)
+            m_server.m_hooks.onResponseGivenUp(unsentBytes());
+        closeConnection();
+    }
+
     void respondWithError(int status, std::string_view detail)
     {
         m_isDiscardingInput = true;
+        if (m_throttle)
+            m_throttle->finish(m_growth);
         handle<http_responder> responder(new http_responder(this, false, m_server.m_hooks.clock().monotonic));
         responder->m_isLastResponse = true;
         m_pending.push_back(responder);
         ++m_server.m_pending;
-        responder->respond(makeResponse(status, std::string(detail) + "\n", "text/plain"));
+        auto response = makeResponse(status, std::string(detail) + "\n", "text/plain");
+        if (status == 503)
+            response.fields.push_back({ "Retry-After", "1" });
+        responder->respond(std::move(response));
+    }
+
+    std::size_t unsentBytes() const { return m_unsent.size() + m_writing.size() - m_writtenBytes; }
+
+    void recordUnsent()
+    {
+        if (!m_throttle)
+            return;
+        m_unsentCharge.resize(m_isClosed ? 0 : m_unsent.size() + m_writing.size());
+        m_throttle->recordUnsent(m_unsentMessage, m_isClosed ? 0 : unsentBytes(), m_isStalled);
     }
 
     void writeMore()
@@ -165,23 +227,50 @@
                 startLinger();
             return;
         }
-        m_isWriting = true;
         m_writing.swap(m_unsent);
-        m_unsent.clear();
-        asio::async_write(m_socket, asio::buffer(m_writing),
-            [self = handle<http_server_connection>(this)](std::error_code error, std::size_t) {
-                self->m_isWriting = false;
-                self->m_writing.clear();
-                if (self->m_isClosed)
-                    return;
-                if (error) {
-                    self->closeConnection();
-                    return;
-                }
-                self->recordActivity();
-                self->writeMore();
-                self->readMore();
-            });
+        m_writtenBytes = 0;
+        m_lastProgress = m_server.m_hooks.clock().monotonic;
+        writeRest();
+        recordUnsent();
+        if (unsentBytes() > largeResponseBytes)
+            scheduleCheck(m_lastProgress);
+    }
+
+    /** Writes what is left of m_writing, part by part, to see whether the client takes it. */
+    void writeRest()
+    {
+        m_isWriting = true;
+        m_socket.async_write_some(asio::buffer(m_writing) + m_writtenBytes,
+            [self = handle<http_server_connection>(this)](
+                std::error_code error, std::size_t length) { self->onWritten(error, length); });
+    }
+
+    void onWritten(std::error_code error, std::size_t length)
+    {
+        m_isWriting = false;
+        if (m_isClosed)
+            return;
+        if (error) {
+            closeConnection();
+            return;
+        }
+        recordActivity();
+        m_lastProgress = m_lastActivity;
+        m_writtenBytes += length;
+        bool wasStalled = std::exchange(m_isStalled, false);
+        if (m_writtenBytes < m_writing.size()) {
+            if (wasStalled)
+                recordUnsent();
+            writeRest();
+            return;
+        }
+        if (m_writing.capacity() > largeResponseBytes)
+            m_writing = {};
+        m_writing.clear();
+        m_writtenBytes = 0;
+        recordUnsent();
+        writeMore();
+        readMore();
     }
 
     void startLinger()
@@ -208,8 +297,23 @@
             closeConnection();
             return;
         }
+        if (m_isWriting && now - m_lastProgress >= m_limits.idleTimeout) {
+            giveUpResponse();
+            return;
+        }
+        if (m_isWriting && !m_isStalled && now - m_lastProgress >= stallTime) {
+            m_isStalled = true;
+            recordUnsent();
+        }
+        scheduleCheck(now);
+    }
+
+    void scheduleCheck(instant now)
+    {
         auto next = m_reader.isInHead() ? m_headStartedAt + m_limits.headerTimeout
                                         : m_lastActivity + m_limits.idleTimeout;
+        if (m_isWriting)
+            next = std::min(next, m_lastProgress + (m_isStalled ? m_limits.idleTimeout : stallTime));
         constexpr duration minCheckInterval = std::chrono::milliseconds(200);
         m_timer.startAfter(std::max(next - now, minCheckInterval),
             [self = handle<http_server_connection>(this)] { self->checkTimeouts(); });
@@ -239,6 +343,11 @@
         std::error_code ignored; // The socket is discarded anyway.
         m_socket.close(ignored);
         m_timer.cancel();
+        if (m_throttle) {
+            recordUnsent();
+            m_throttle->finish(m_growth);
+        }
+        m_reader.takePartialMessage();
         cancelPending();
     }
 
@@ -248,13 +357,20 @@
     http_server_limits m_limits;
     http_reader m_reader;
     std::array<char, readBufferBytes> m_input {};
+    receive_throttle* m_throttle = nullptr;
+    growing_message m_growth; ///< The request that is being received.
+    unsent_message m_unsentMessage; ///< All responses that are being sent.
+    memory_charge m_unsentCharge;
     std::string m_unsent;
     std::string m_writing;
+    std::size_t m_writtenBytes = 0; ///< Of m_writing.
     std::deque<handle<http_responder>> m_pending;
     instant m_lastActivity {};
     instant m_headStartedAt {};
+    instant m_lastProgress {}; ///< When the client last took a part of a response, or the response began.
     bool m_isReading = false;
     bool m_isWriting = false;
+    bool m_isStalled = false; ///< The client has not taken any byte for a while.
     bool m_isDiscardingInput = false;
     bool m_isClosing = false;
     bool m_isLingering = false;
--- a/packages/proxy/src/http_server.h
+++ b/packages/proxy/src/http_server.h
@@ -6,7 +6,7 @@
 
 #include "connection_acceptor.h"
 #include "http_reader.h"
-#include "one_shot_timer.h"
+#include "receive_throttle.h"
 
 #include <asio.hpp>
 #include <boost/intrusive/list.hpp>
@@ -72,6 +72,15 @@
         /** Returns the execution context for the next connection. If unset, connections use that of the
          * server. */
         std::function<asio::io_context*()> selectContext;
+        /** Returns what limits the memory of messages on the calling thread, which is that of a new
+         * connection. It must outlive the connection. If unset, memory is not limited. */
+        std::function<receive_throttle*()> throttle = nullptr;
+        /** A request was given up and refused before it was received whole, because this process holds too
+         * many bytes. May be unset. */
+        std::function<void(http_message&& partialRequest)> onRequestGivenUp = nullptr;
+        /** A connection was closed before its response was sent whole: the client has not taken any of it for
+         * the idle timeout, or this process holds too many bytes. May be unset. */
+        std::function<void(std::size_t unsentBytes)> onResponseGivenUp = nullptr;
     };
 
     http_server(asio::io_context& context, hooks hooks);
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -88,7 +88,8 @@
     auto address = endpointFromText(endpoint);
     if (!address)
         return nullptr;
-    auto link = peer_link::makeClient(m_context, m_policy, { nullptr, nullptr, nullptr, m_hooks.clock });
+    auto link = peer_link::makeClient(
+        m_context, m_policy, { nullptr, nullptr, nullptr, m_hooks.clock, nullptr, m_hooks.throttle });
     auto* rawPointer = link.get();
     link->setHooks({ [this, endpoint, rawPointer](bool isUnresponsive) {
                         auto found = m_links.find(endpoint);
@@ -121,7 +122,8 @@
             auto found = m_links.find(endpoint);
             if (found != m_links.end() && found->second.link.get() == rawPointer)
                 m_links.erase(found);
-        } });
+        },
+        m_hooks.throttle });
     entry.link = link;
     link->connect(*address);
     return link;
@@ -206,7 +208,10 @@
                     return;
                 recordResponse(forwardCall->m_peer->announcement.endpoint);
                 forwardCall->release();
-                done(decodeForwardReply(message, isHead));
+                done(decodeForwardReply(message, isHead, [this] {
+                    return m_hooks.throttle ? m_hooks.throttle->makeBody(byte_holder::backendResponse)
+                                            : message_body();
+                }));
             },
             [fail](peer_call_failure failure) {
                 bool isPayloadCommitted = failure == peer_call_failure::streamLost;
--- a/packages/proxy/src/peer_forwarder.h
+++ b/packages/proxy/src/peer_forwarder.h
@@ -49,6 +49,7 @@
         /** The gateway of this node, which takes local requests without a link. Null on all threads but the
          * one that the gateway runs on. */
         backend_gateway* gateway = nullptr;
+        receive_throttle* throttle = nullptr; ///< For replies; not limited if null.
     };
 
     peer_forwarder(
--- a/packages/proxy/src/peer_link.cpp
+++ b/packages/proxy/src/peer_link.cpp
@@ -12,13 +12,14 @@
     using tcp = asio::ip::tcp;
 
     /** HTTP/2 flow control windows in bytes: unread data allowed on one stream and on the connection. */
-    constexpr std::int32_t streamWindowBytes = 1 << 20;
+    constexpr std::int32_t streamWindowBytes = 256 << 10;
     constexpr std::int32_t connectionWindowBytes = 16 << 20;
     constexpr std::uint32_t maxConcurrentStreams = 4096;
     constexpr std::size_t maxWriteBytes = 256 << 10; ///< Bytes collected before one write to the socket.
     constexpr duration minCheckInterval = std::chrono::milliseconds(1); ///< Between checks of the keepalive.
 
     constexpr std::string_view kindField = "kind";
+    constexpr std::string_view lengthField = "payload-bytes";
     constexpr std::string_view kindOffer = "offer";
     constexpr std::string_view kindRequest = "request";
     constexpr std::string_view kindGrant = "grant";
@@ -33,28 +34,49 @@
         return { bytes(name), bytes(value), name.size(), value.size(), NGHTTP2_NV_FLAG_NONE };
     }
 
-    std::vector<nghttp2_nv> makeHeaders(std::string_view kind, const std::vector<http_field>& fields)
+    /** \param length the text of the size of the payload; must outlive the result. */
+    std::vector<nghttp2_nv> makeHeaders(
+        std::string_view kind, std::string_view length, const std::vector<http_field>& fields)
     {
         std::vector<nghttp2_nv> headers;
-        headers.reserve(fields.size() + 1);
+        headers.reserve(fields.size() + 2);
         headers.push_back(makeHeader(kindField, kind));
+        if (!length.empty())
+            headers.push_back(makeHeader(lengthField, length));
         for (const auto& [name, value] : fields)
             headers.push_back(makeHeader(name, value));
         return headers;
     }
 
     /** Copies the next part of \p payload, which is freed after its last part. */
-    ssize_t copyPayload(std::string& payload, std::size_t& sentBytes, std::uint8_t* buffer,
-        std::size_t length, std::uint32_t* flags)
+    ssize_t copyPayload(
+        outgoing_payload& payload, std::uint8_t* buffer, std::size_t length, std::uint32_t* flags)
     {
-        auto count = std::min(length, payload.size() - sentBytes);
-        std::copy_n(payload.data() + sentBytes, count, buffer);
-        sentBytes += count;
-        if (sentBytes == payload.size()) {
+        std::size_t copied = 0;
+        std::size_t partStart = 0;
+        for (std::string_view part : { std::string_view(payload.first), payload.second.view() }) {
+            auto position = payload.sentBytes + copied;
+            if (position < partStart + part.size() && copied < length) {
+                auto rest = part.substr(position - partStart, length - copied);
+                std::copy(rest.begin(), rest.end(), buffer + copied);
+                copied += rest.size();
+            }
+            partStart += part.size();
+        }
+        payload.sentBytes += copied;
+        if (payload.sentBytes == payload.size()) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
-            payload = {};
+            payload.isSent = true;
+            payload.clear();
         }
-        return static_cast<ssize_t>(count);
+        return static_cast<ssize_t>(copied);
+    }
+
+    std::uint64_t parseNumber(std::string_view text)
+    {
+        std::uint64_t number = 0;
+        std::from_chars(text.data(), text.data() + text.size(), number);
+        return number;
     }
 
 } // namespace
@@ -68,13 +90,7 @@
     return {};
 }
 
-std::uint64_t peer_message::number(std::string_view name) const
-{
-    auto text = value(name);
-    std::uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
+std::uint64_t peer_message::number(std::string_view name) const { return parseNumber(value(name)); }
 
 duration peer_message::time(std::string_view name) const
 {
@@ -87,6 +103,13 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(nonNegative).count());
 }
 
+void outgoing_payload::clear()
+{
+    first = {};
+    second = {};
+    sentBytes = 0;
+}
+
 /** Callbacks of the nghttp2 session. */
 struct peer_link::callbacks {
     static peer_link& linkOf(void* user) { return *static_cast<peer_link*>(user); }
@@ -99,6 +122,7 @@
         handle<peer_request> request(new peer_request);
         request->m_link = &link;
         request->m_stream = frame->hd.stream_id;
+        link.initializeIncoming(*request);
         link.m_requests.emplace(frame->hd.stream_id, request);
         link.recordStreamStart();
         return 0;
@@ -116,6 +140,8 @@
                 return 0;
             if (field.name == kindField)
                 found->second->m_isReplyStarted = field.value == kindReply;
+            else if (field.name == lengthField)
+                found->second->m_incoming.announcedBytes = parseNumber(field.value);
             else
                 found->second->m_reply.fields.push_back(std::move(field));
             return 0;
@@ -125,6 +151,8 @@
             return 0;
         if (field.name == kindField)
             found->second->isOffer = field.value == kindOffer;
+        else if (field.name == lengthField)
+            found->second->m_incoming.announcedBytes = parseNumber(field.value);
         else
             found->second->message.fields.push_back(std::move(field));
         return 0;
@@ -135,15 +163,24 @@
     {
         auto& link = linkOf(user);
         std::string_view bytes(reinterpret_cast<const char*>(data), length);
+        // Only the windows of streams hold senders back, so that no stream can block the others.
+        nghttp2_session_consume_connection(link.m_session, length);
         if (link.m_isClient) {
             auto found = link.m_calls.find(stream);
-            if (found != link.m_calls.end() && !found->second->m_isEnded)
-                found->second->m_reply.payload.append(bytes);
+            if (found != link.m_calls.end() && !found->second->m_isEnded) {
+                auto call = found->second;
+                link.receive(stream, call->m_reply.payload, call->m_incoming, bytes);
+                return 0;
+            }
         } else {
             auto found = link.m_requests.find(stream);
-            if (found != link.m_requests.end() && !found->second->m_isReplied)
-                found->second->message.payload.append(bytes);
+            if (found != link.m_requests.end() && !found->second->m_isReplied && !found->second->m_isEnded) {
+                auto request = found->second;
+                link.receive(stream, request->message.payload, request->m_incoming, bytes);
+                return 0;
+            }
         }
+        nghttp2_session_consume_stream(link.m_session, stream, length);
         return 0;
     }
 
@@ -173,7 +210,7 @@
         }
         if (!isEnd)
             return;
-        if (!call->m_isPayloadSent)
+        if (!call->m_payload.isSent)
             link.reset(stream); // The server has refused the request, also if it had granted it before.
         auto hooks = endCall(*call);
         if (hooks.onReply)
@@ -186,6 +223,8 @@
         if (found == link.m_requests.end())
             return;
         auto request = found->second;
+        if (isEnd)
+            link.finishReceiving(request->m_incoming);
         if (!request->m_isDelivered && (isEnd || (isHeaders && request->isOffer))) {
             request->m_isDelivered = true;
             link.m_hooks.onRequest(request);
@@ -199,7 +238,7 @@
         }
     }
 
-    static int onStreamClose(nghttp2_session*, std::int32_t stream, std::uint32_t, void* user)
+    static int onStreamClose(nghttp2_session*, std::int32_t stream, std::uint32_t code, void* user)
     {
         auto& link = linkOf(user);
         if (auto found = link.m_requests.find(stream); found != link.m_requests.end()) {
@@ -210,6 +249,9 @@
         if (auto found = link.m_calls.find(stream); found != link.m_calls.end()) {
             auto call = found->second;
             link.m_calls.erase(found);
+            // The server has not received the request whole, so it has not run.
+            if (code == NGHTTP2_REFUSED_STREAM)
+                call->m_isCommitted = false;
             failCall(*call);
         }
         return 0;
@@ -218,8 +260,11 @@
     static void endRequest(peer_request& request)
     {
         request.m_isEnded = true;
-        request.m_link = nullptr;
-        request.m_payload = {};
+        if (auto link = std::exchange(request.m_link, nullptr))
+            link->finishReceiving(request.m_incoming);
+        request.message.payload = {};
+        request.m_incoming.charge.resize(0);
+        request.m_payload.clear();
         auto cancelled = std::move(request.onCancelled);
         request.onCancelled = nullptr;
         request.onPayloadComplete = nullptr;
@@ -232,8 +277,10 @@
     static peer_call::hooks endCall(peer_call& call)
     {
         call.m_isEnded = true;
-        call.m_link = nullptr;
-        call.m_payload = {};
+        if (auto link = std::exchange(call.m_link, nullptr))
+            link->finishReceiving(call.m_incoming);
+        call.m_incoming.charge.resize(0);
+        call.m_payload.clear();
         return std::exchange(call.m_hooks, {});
     }
 
@@ -252,9 +299,7 @@
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE; // Resets the stream.
         if (!call.m_isCommitted)
             return NGHTTP2_ERR_DEFERRED;
-        auto count = copyPayload(call.m_payload, call.m_sentBytes, buffer, length, flags);
-        call.m_isPayloadSent = (*flags & NGHTTP2_DATA_FLAG_EOF) != 0;
-        return count;
+        return copyPayload(call.m_payload, buffer, length, flags);
     }
 
     static ssize_t readReplyPayload(nghttp2_session*, std::int32_t, std::uint8_t* buffer, std::size_t length,
@@ -263,7 +308,7 @@
         auto& request = *static_cast<peer_request*>(source->ptr);
         if (request.m_isEnded)
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
-        return copyPayload(request.m_payload, request.m_sentBytes, buffer, length, flags);
+        return copyPayload(request.m_payload, buffer, length, flags);
     }
 
     static nghttp2_session_callbacks* make()
@@ -298,19 +343,27 @@
 {
     if (!m_link)
         return;
-    auto headers = makeHeaders(kindGrant, {});
+    auto headers = makeHeaders(kindGrant, {}, {});
     nghttp2_submit_headers(
         m_link->m_session, NGHTTP2_FLAG_NONE, m_stream, nullptr, headers.data(), headers.size(), nullptr);
     m_link->writePending();
 }
 
+std::string peer_request::takePayload()
+{
+    m_incoming.charge.resize(0);
+    return std::exchange(message.payload, {});
+}
+
 void peer_request::reply(peer_message message)
 {
     onCancelled = nullptr;
     onPayloadComplete = nullptr;
     if (!m_link || std::exchange(m_isReplied, true))
         return;
-    m_payload = std::move(message.payload);
+    m_payload.first = std::move(message.payload);
+    m_payload.second = std::move(message.body);
+    takePayload();
     auto link = m_link;
     link->submitReply(*this, message.fields);
 }
@@ -327,6 +380,7 @@
     nghttp2_option_new(&option);
     // The streams carry project-specific messages rather than HTTP semantics, so HTTP checks are off.
     nghttp2_option_set_no_http_messaging(option, 1);
+    nghttp2_option_set_no_auto_window_update(option, 1);
     if (isClient)
         nghttp2_session_client_new2(&m_session, sessionCallbacks, this, option);
     else
@@ -390,8 +444,10 @@
     handle<peer_call> call(new peer_call);
     call->m_link = this;
     call->m_hooks = std::move(hooks);
-    call->m_payload = std::move(message.payload);
+    call->m_payload.first = std::move(message.payload);
+    call->m_payload.second = std::move(message.body);
     call->m_isCommitted = !isOffer;
+    initializeIncoming(*call);
     submitCall(*call, message.fields, isOffer);
     return call;
 }
@@ -399,7 +455,8 @@
 void peer_link::submitCall(peer_call& call, const std::vector<http_field>& fields, bool isOffer)
 {
     if (!m_isClosed) {
-        auto headers = makeHeaders(isOffer ? kindOffer : kindRequest, fields);
+        auto length = std::to_string(call.m_payload.size());
+        auto headers = makeHeaders(isOffer ? kindOffer : kindRequest, length, fields);
         nghttp2_data_provider provider { { .ptr = &call }, callbacks::readCallPayload };
         call.m_stream
             = nghttp2_submit_request(m_session, nullptr, headers.data(), headers.size(), &provider, nullptr);
@@ -419,7 +476,8 @@
 
 void peer_link::submitReply(peer_request& request, const std::vector<http_field>& fields)
 {
-    auto headers = makeHeaders(kindReply, fields);
+    auto length = std::to_string(request.m_payload.size());
+    auto headers = makeHeaders(kindReply, length, fields);
     nghttp2_data_provider provider { { .ptr = &request }, callbacks::readReplyPayload };
     nghttp2_submit_response(m_session, request.m_stream, headers.data(), headers.size(), &provider);
     writePending();
@@ -431,12 +489,69 @@
     writePending();
 }
 
-void peer_link::reset(std::int32_t stream)
+void peer_link::reset(std::int32_t stream, std::uint32_t code)
+{
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, stream, code);
+    writePending();
+}
+
+template <typename T> void peer_link::initializeIncoming(T& stream)
+{
+    if (!m_hooks.throttle)
+        return;
+    stream.m_incoming.charge = m_hooks.throttle->makeCharge(byte_holder::peerMessage);
+    // The link closes or forgets the stream before either of them is destroyed.
+    stream.m_incoming.growth.setHooks(
+        { [this, raw = &stream] { acknowledge(raw->m_stream, raw->m_incoming); },
+            [this, raw = &stream] { giveUp(raw->m_stream); } });
+}
+
+void peer_link::receive(
+    std::int32_t stream, std::string& payload, incoming_payload& incoming, std::string_view bytes)
 {
-    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
+    payload.append(bytes);
+    incoming.charge.resize(payload.size());
+    incoming.unacknowledgedBytes += bytes.size();
+    auto next = growth::proceed;
+    if (m_hooks.throttle) {
+        auto remaining = incoming.announcedBytes - std::min(payload.size(), incoming.announcedBytes);
+        next = m_hooks.throttle->recordGrowth(incoming.growth, payload.size(), remaining);
+    }
+    if (next == growth::proceed)
+        acknowledge(stream, incoming);
+}
+
+/** Lets the sender go on. */
+void peer_link::acknowledge(std::int32_t stream, incoming_payload& incoming)
+{
+    if (m_isClosed)
+        return;
+    nghttp2_session_consume_stream(m_session, stream, std::exchange(incoming.unacknowledgedBytes, 0));
     writePending();
 }
 
+/** Ends a stream whose payload cannot be held. */
+void peer_link::giveUp(std::int32_t stream)
+{
+    handle<peer_link> self(this);
+    if (auto found = m_requests.find(stream); found != m_requests.end()) {
+        auto request = found->second;
+        reset(stream, NGHTTP2_REFUSED_STREAM);
+        callbacks::endRequest(*request);
+    }
+    if (auto found = m_calls.find(stream); found != m_calls.end()) {
+        auto call = found->second;
+        reset(stream);
+        callbacks::failCall(*call);
+    }
+}
+
+void peer_link::finishReceiving(incoming_payload& incoming)
+{
+    if (m_hooks.throttle)
+        m_hooks.throttle->finish(incoming.growth);
+}
+
 void peer_link::readNext()
 {
     m_socket.async_read_some(
--- a/packages/proxy/src/peer_link.h
+++ b/packages/proxy/src/peer_link.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "http_message.h"
-#include "one_shot_timer.h"
+#include "receive_throttle.h"
 
 #include <asio.hpp>
 #include <nghttp2/nghttp2.h>
@@ -19,6 +19,8 @@
 struct peer_message {
     std::vector<http_field> fields;
     std::string payload;
+    /** Sent after the payload, of which it is a part at the receiver. Copies of a message share it. */
+    message_body body {};
 
     /** The value of the first field called \p name; empty when there is none. */
     std::string_view value(std::string_view name) const;
@@ -41,6 +43,25 @@
 
 class peer_link;
 
+/** What is still to be sent on a stream. */
+struct outgoing_payload {
+    std::string first;
+    message_body second;
+    std::size_t sentBytes = 0;
+    bool isSent = false; ///< Including the end of the stream.
+
+    std::size_t size() const { return first.size() + second.size(); }
+    void clear();
+};
+
+/** How much of a payload has been received on a stream. */
+struct incoming_payload {
+    memory_charge charge;
+    growing_message growth;
+    std::size_t announcedBytes = 0;
+    std::size_t unacknowledgedBytes = 0; ///< Received, but not returned to the flow control window.
+};
+
 /** The client side of a stream. The link holds a reference from the submission of the stream until the stream
  * has closed or the link is destroyed, however the call ends, as its HTTP/2 session keeps a pointer to the
  * call for that long. Thread safety: the thread of its link. */
@@ -70,13 +91,12 @@
     handle<peer_link> m_link;
     hooks m_hooks;
     std::int32_t m_stream = -1;
-    std::string m_payload; ///< Empty once it has been sent or the call has ended.
-    std::size_t m_sentBytes = 0;
+    outgoing_payload m_payload;
     bool m_isCommitted = false;
-    bool m_isPayloadSent = false;
     bool m_isReplyStarted = false;
     bool m_isEnded = false; ///< By a reply, a failure or cancel(); the stream may still be open.
     peer_message m_reply;
+    incoming_payload m_incoming; ///< Of the reply.
 };
 
 /** The server side of a stream. The link holds a reference for as long as to a peer_call. Thread safety: the
@@ -86,6 +106,9 @@
     /** Grants the offer, so that the client may send its payload. */
     void grant();
 
+    /** Moves out the payload, which the memory account counts no more. */
+    std::string takePayload();
+
     /** Sends the reply. Does nothing when the stream has ended or a reply was sent. */
     void reply(peer_message message);
 
@@ -103,8 +126,8 @@
 
     handle<peer_link> m_link;
     std::int32_t m_stream = -1;
-    std::string m_payload; ///< Of the reply; empty once it has been sent or the stream has ended.
-    std::size_t m_sentBytes = 0;
+    outgoing_payload m_payload; ///< Of the reply.
+    incoming_payload m_incoming;
     bool m_isDelivered = false;
     bool m_isReplied = false;
     bool m_isEnded = false;
@@ -139,6 +162,9 @@
         clock_hook clock;
         /** The link has had no open stream for the idle timeout and closes; called before onClosed. */
         std::function<void()> onIdle = nullptr;
+        /** Limits the memory of what is received, by the flow control windows of the streams and by resetting
+         * streams. It must outlive the link. If null, memory is not limited. */
+        receive_throttle* throttle = nullptr;
     };
 
     /** A link in the client role. It is opened by connect(). */
@@ -185,7 +211,13 @@
     void submitCall(peer_call& call, const std::vector<http_field>& fields, bool isOffer);
     void submitReply(peer_request& request, const std::vector<http_field>& fields);
     void resume(std::int32_t stream);
-    void reset(std::int32_t stream);
+    void reset(std::int32_t stream, std::uint32_t code = NGHTTP2_CANCEL);
+    void receive(
+        std::int32_t stream, std::string& payload, incoming_payload& incoming, std::string_view bytes);
+    void acknowledge(std::int32_t stream, incoming_payload& incoming);
+    void giveUp(std::int32_t stream);
+    void finishReceiving(incoming_payload& incoming);
+    template <typename T> void initializeIncoming(T& stream);
     void readNext();
     void writePending();
     void checkKeepalive();
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -72,6 +72,13 @@
                             .Register(m_registry)
                             .Add({}))
 {
+    auto& heldBytes = BuildGauge()
+                          .Name("pomelohub_held_bytes")
+                          .Help("Bytes of messages that the process holds, by holder")
+                          .Register(m_registry);
+    for (std::size_t holder = 0; holder < byteHolderCount; ++holder)
+        m_heldBytes.at(holder)
+            = &heldBytes.Add({ { "holder", std::string(toText(static_cast<byte_holder>(holder))) } });
 }
 
 void proxy_metrics::recordResponse(int status, duration took)
@@ -127,6 +134,12 @@
     m_droppedLogLines.Set(static_cast<double>(count));
 }
 
+void proxy_metrics::setHeldBytes(const memory_account& account)
+{
+    for (std::size_t holder = 0; holder < byteHolderCount; ++holder)
+        m_heldBytes.at(holder)->Set(static_cast<double>(account.heldBytes(static_cast<byte_holder>(holder))));
+}
+
 std::string proxy_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/packages/proxy/src/proxy_metrics.h
+++ b/packages/proxy/src/proxy_metrics.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "memory_account.h"
 #include "request_error.h"
 
 #include <prometheus/counter.h>
@@ -34,6 +35,7 @@
     void setConfigurationVersion(std::uint64_t version);
     void setKnownNodes(std::size_t count);
     void setDroppedLogLines(std::uint64_t count);
+    void setHeldBytes(const memory_account& account);
 
     /** All metrics in the Prometheus text format. */
     std::string text() const;
@@ -53,6 +55,7 @@
     prometheus::Gauge& m_configurationVersion;
     prometheus::Gauge& m_knownNodes;
     prometheus::Gauge& m_droppedLogLines;
+    std::array<prometheus::Gauge*, byteHolderCount> m_heldBytes {};
 };
 
 } // namespace pomelohub
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -44,7 +44,8 @@
 struct proxy_node::worker {
     explicit worker(proxy_node& node)
         : guard(asio::make_work_guard(context))
-        , forwarder(context, node.m_settings.node, {}, node.m_log, { node.m_clock, nullptr })
+        , throttle(context, node.m_memory, {}, node.m_clock)
+        , forwarder(context, node.m_settings.node, {}, node.m_log, { node.m_clock, nullptr, &throttle })
     {
     }
 
@@ -56,6 +57,7 @@
 
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> guard;
+    receive_throttle throttle;
     peer_forwarder forwarder;
     std::unique_ptr<ingress_router> router;
     std::thread thread;
@@ -67,6 +69,7 @@
     , m_clock(std::move(clock))
     , m_log(m_settings.node, {}, m_clock)
     , m_quarantine({})
+    , m_memory(memory_limits::forProcess(m_settings.memoryBytes))
     , m_controller({ [this](const std::string& document) { return decodeConfiguration(document); },
           [this] { onSnapshotPublished(); },
           [this](const std::string& reason) {
@@ -152,7 +155,8 @@
                 if (m_quarantine.noteResponse(fingerprint, m_clock().monotonic))
                     asio::post(
                         m_control, [this, fingerprint] { m_controlLoop->recordResponse(fingerprint); });
-            } });
+            },
+            &firstWorker->throttle });
     firstWorker->forwarder.setGateway(m_gateway.get());
     m_workers.push_back(std::move(firstWorker));
     while (m_workers.size() < m_settings.threadCount)
@@ -209,7 +213,14 @@
                                 worker::current()->router->serve(std::move(message), std::move(responder));
                             },
             [this] { return callerLimits(); }, m_clock,
-            [this] { return &m_workers[m_nextWorker++ % m_workers.size()]->context; } });
+            [this] { return &m_workers[m_nextWorker++ % m_workers.size()]->context; },
+            [] { return &worker::current()->throttle; },
+            [this](http_message&& partialRequest) { recordRequestGivenUp(std::move(partialRequest)); },
+            [this](std::size_t unsentBytes) {
+                m_log.write(event_priority::failure, "response_not_taken", {},
+                    { { "unsent", static_cast<std::uint64_t>(unsentBytes) },
+                        { "held", static_cast<std::uint64_t>(m_memory.heldBytes()) } });
+            } });
     auto defaultLimits = [] { return http_server_limits {}; };
     m_notificationServer = std::make_unique<http_server>(m_control,
         http_server::hooks { [this](http_message&& message, const handle<http_responder>& responder) {
@@ -227,6 +238,7 @@
     m_metricsServer = std::make_unique<http_server>(m_control,
         http_server::hooks { [this](http_message&&, const handle<http_responder>& responder) {
                                 m_metrics.setDroppedLogLines(m_log.droppedCount());
+                                m_metrics.setHeldBytes(m_memory);
                                 responder->respond(
                                     makeResponse(200, m_metrics.text(), "text/plain; version=0.0.4"));
                             },
@@ -250,8 +262,8 @@
             [this](tcp::socket socket) {
                 auto link = peer_link::makeServer(std::move(socket), {},
                     { nullptr, nullptr,
-                        [this](const handle<peer_request>& request) { handlePeerRequest(request); },
-                        m_clock });
+                        [this](const handle<peer_request>& request) { handlePeerRequest(request); }, m_clock,
+                        nullptr, &m_workers.front()->throttle });
                 link->start();
             },
             [this](std::error_code error) {
@@ -292,9 +304,9 @@
     handle<gateway_request> local(new gateway_request);
     local->request = std::move(*fields);
     local->hasPayload = !request->isOffer;
-    auto decodeMessage = [local, raw = request.get()] {
-        auto message = decodeRequestPayload(raw->message.payload);
-        raw->message.payload.clear();
+    auto decodeMessage = [this, local, raw = request.get()] {
+        auto message = decodeRequestPayload(raw->takePayload(),
+            [this] { return m_workers.front()->throttle.makeBody(byte_holder::peerMessage); });
         if (message)
             local->request.message = std::move(*message);
         return message.has_value();
@@ -319,6 +331,15 @@
     m_gateway->submit(local);
 }
 
+void proxy_node::recordRequestGivenUp(http_message&& partialRequest)
+{
+    auto caller = m_dependencies.headerCodec.readCallerRequest(partialRequest);
+    m_log.write(event_priority::failure, "request_given_up", caller ? caller->id : request_id(),
+        { { "received", static_cast<std::uint64_t>(partialRequest.body.size()) },
+            { "held", static_cast<std::uint64_t>(m_memory.heldBytes()) } });
+    m_metrics.recordRefusal(refusal_reason::memoryExhausted, httpStatus(refusal_reason::memoryExhausted));
+}
+
 handle<const organisation_limits> proxy_node::findLimits(const organisation_id& id) const
 {
     if (auto service = serviceOfRetryReserve(id))
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -53,6 +53,7 @@
     std::optional<std::string> listenAll();
     void handlePeerRequest(const handle<peer_request>& request);
     void handleForwardedRequest(const handle<peer_request>& request);
+    void recordRequestGivenUp(http_message&& partialRequest);
     handle<const organisation_limits> findLimits(const organisation_id& id) const;
     bool isActingOwner(const worker& observer, const fleet_snapshot& snapshot, const organisation_id& item,
         instant now) const;
@@ -78,6 +79,7 @@
     event_log m_log;
     proxy_metrics m_metrics;
     crash_quarantine m_quarantine;
+    memory_account m_memory;
     asio::io_context m_control;
     fleet_controller m_controller;
     std::vector<std::unique_ptr<worker>> m_workers;
--- a/packages/proxy/src/proxy_settings.cpp
+++ b/packages/proxy/src/proxy_settings.cpp
@@ -8,6 +8,7 @@
 
     constexpr number_range threadRange { 1, 64 };
     constexpr number_range descriptorRange { 64, 1'000'000 };
+    constexpr number_range memoryRange { 64, 1'000'000 };
     constexpr number_range graceRange { 0.5, 3600 };
 
     constexpr number_range shareRange { 0, 1 };
@@ -63,6 +64,9 @@
         settings.threadCount = static_cast<std::uint32_t>(root.integer("threads", threadRange, 1));
         auto descriptors = static_cast<std::size_t>(root.integer("descriptors", descriptorRange, 4096));
         settings.maxConnections = descriptors / descriptorsPerConnection;
+        settings.memoryBytes
+            = static_cast<std::size_t>(root.integer("memory_mb", memoryRange, settings.memoryBytes >> 20))
+            << 20;
         settings.gracePeriod = durationOf(root.number("grace_s", graceRange, 6));
         readRetries(root.object("retries", false), settings);
         root.rejectUnknownFields();
--- a/packages/proxy/src/proxy_settings.h
+++ b/packages/proxy/src/proxy_settings.h
@@ -25,6 +25,7 @@
     std::uint32_t threadCount = 1; ///< Number of threads that serve requests.
     std::size_t maxConnections = 3000; ///< Limit on connections from callers.
     service_retry_limits retries;
+    std::size_t memoryBytes = 160 << 20; ///< That the process may use.
     duration gracePeriod {}; ///< From the signal to stop until the process is killed.
 };
 
--- /dev/null
+++ b/packages/proxy/src/receive_throttle.cpp
@@ -0,0 +1,43 @@
+#include "receive_throttle.h"
+
+namespace pomelohub {
+
+namespace {
+
+    /** Between checks for messages that have stalled, while others are paused. */
+    constexpr duration checkInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+receive_throttle::receive_throttle(
+    asio::io_context& context, memory_account& account, growth_policy policy, clock_hook clock)
+    : m_controller(account, policy)
+    , m_clock(std::move(clock))
+    , m_timer(context)
+{
+    account.addReliefHook([this, &context] {
+        asio::post(context, [this] { m_controller.resumePaused(m_clock().monotonic); });
+    });
+}
+
+growth receive_throttle::recordGrowth(
+    growing_message& message, std::size_t bytes, std::optional<std::size_t> remainingBytes)
+{
+    auto next = m_controller.recordGrowth(message, bytes, remainingBytes, m_clock().monotonic);
+    if (next == growth::pause && !m_isChecking)
+        checkPaused();
+    return next;
+}
+
+void receive_throttle::checkPaused()
+{
+    m_isChecking = m_controller.hasPaused();
+    if (!m_isChecking)
+        return;
+    m_timer.startAfter(checkInterval, [this] {
+        m_controller.resumePaused(m_clock().monotonic);
+        checkPaused();
+    });
+}
+
+} // namespace pomelohub
--- /dev/null
+++ b/packages/proxy/src/receive_throttle.h
@@ -0,0 +1,49 @@
+/** \file
+ * Defines receive_throttle, which applies the decisions of a growth_controller on the event loop of one
+ * thread.
+ */
+#pragma once
+
+#include "growth_controller.h"
+#include "message_body.h"
+#include "one_shot_timer.h"
+
+namespace pomelohub {
+
+/** Thread safety: the thread of its execution context. */
+class receive_throttle {
+public:
+    /** The account must outlive the throttle, which registers a relief hook with it. Precondition: that of
+     * memory_account::addReliefHook(). */
+    receive_throttle(
+        asio::io_context& context, memory_account& account, growth_policy policy, clock_hook clock);
+
+    /** A charge of the account for bytes of \p holder. */
+    memory_charge makeCharge(byte_holder holder) { return { &m_controller.account(), holder }; }
+
+    /** An empty body whose bytes are counted. */
+    message_body makeBody(byte_holder holder) { return message_body(makeCharge(holder)); }
+
+    /** As growth_controller::recordGrowth(). */
+    growth recordGrowth(
+        growing_message& message, std::size_t bytes, std::optional<std::size_t> remainingBytes);
+
+    /** As growth_controller::finish(). */
+    void finish(growing_message& message) { m_controller.finish(message, m_clock().monotonic); }
+
+    /** As growth_controller::recordUnsent(). */
+    void recordUnsent(unsent_message& message, std::size_t bytes, bool isStalled)
+    {
+        m_controller.recordUnsent(message, bytes, isStalled);
+    }
+
+private:
+    void checkPaused();
+
+    growth_controller m_controller;
+    clock_hook m_clock;
+    one_shot_timer m_timer;
+    bool m_isChecking = false;
+};
+
+} // namespace pomelohub
--- a/test/proxy/peer_link.cpp
+++ b/test/proxy/peer_link.cpp
@@ -194,7 +194,7 @@
     CHECK(read->retryRule == retry_rule::once);
     CHECK(read->timeLeft == 1500ms);
     CHECK(read->fingerprint == request.fingerprint);
-    CHECK(decodeRequestPayload(message.payload)->body == "body");
+    CHECK(decodeRequestPayload(message.payload.append(message.body))->body == "body");
     CHECK_FALSE(read->mayBeTrial);
     request.retryRule = retry_rule::idempotent;
     CHECK_FALSE(decodeForwardedFields(encodeForwardedRequest(request))->mayBeTrial);
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <numeric>
+#include <sstream>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -134,9 +136,10 @@
         m_waiting.push_back({ topic, std::stoull(queryValue(request.target, "from")), responder });
         wakeReaders();
     } else if (request.path() == "/-/log-append") {
-        auto keyLength = static_cast<unsigned char>(request.body.at(4));
+        std::string body(request.body);
+        auto keyLength = static_cast<unsigned char>(body.at(4));
         auto offset = m_topics[topic].size();
-        append(topic, request.body.substr(5, keyLength), request.body.substr(5U + keyLength));
+        append(topic, body.substr(5, keyLength), body.substr(5U + keyLength));
         responder->respond(
             makeResponse(200, nlohmann::json { { "offset", offset }, { "end", offset + 1 } }.dump()));
     } else {
@@ -203,7 +206,9 @@
         return;
     }
     auto status = request.target.ends_with("/fail") ? 500 : 200;
-    auto answer = makeResponse(status, "done by " + m_service, "text/plain");
+    auto body
+        = request.target.ends_with("/large") ? std::string(largeResponseBytes, 'x') : "done by " + m_service;
+    auto answer = makeResponse(status, std::move(body), "text/plain");
     answer.fields.push_back({ "Request-Id", text("Request-Id") });
     answer.fields.push_back({ "Server-Stamp", m_id });
     responder->respond(std::move(answer));
@@ -324,6 +329,17 @@
     posix_spawn_file_actions_destroy(&actions);
 }
 
+std::size_t proxy_fleet::peakMemory(std::size_t node) const
+{
+    constexpr std::string_view name = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(m_nodes[node].process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(name))
+            return std::stoul(line.substr(name.size())) << 10;
+    }
+    return 0;
+}
+
 void proxy_fleet::signal(std::size_t node, int number) { kill(m_nodes[node].process, number); }
 
 int proxy_fleet::waitForEnd(std::size_t node)
@@ -395,12 +411,30 @@
     return answer && answer->status == 200;
 }
 
-int proxy_fleet::knownNodes(std::size_t node)
+std::vector<double> proxy_fleet::metricValues(std::size_t node, const std::string& name)
 {
-    const std::string gauge = "\npomelohub_known_nodes ";
     auto answer = get(m_nodes[node].metrics, "/metrics");
-    auto at = answer ? answer->body.find(gauge) : std::string::npos;
-    return at == std::string::npos ? 0 : std::stoi(answer->body.substr(at + gauge.size()));
+    std::istringstream text(answer ? answer->body.take() : "");
+    std::vector<double> values;
+    for (std::string line; std::getline(text, line);) {
+        bool isSeries = line.starts_with(name) && (line[name.size()] == ' ' || line[name.size()] == '{');
+        if (isSeries)
+            values.push_back(std::stod(line.substr(line.rfind(' '))));
+    }
+    return values;
+}
+
+int proxy_fleet::knownNodes(std::size_t node)
+{
+    auto values = metricValues(node, "pomelohub_known_nodes");
+    return values.empty() ? 0 : static_cast<int>(values.front());
+}
+
+std::size_t proxy_fleet::heldBytes(std::size_t node)
+{
+    auto values = metricValues(node, "pomelohub_held_bytes");
+    REQUIRE_FALSE(values.empty());
+    return static_cast<std::size_t>(std::accumulate(values.begin(), values.end(), 0.0));
 }
 
 } // namespace pomelohub
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -81,6 +81,8 @@
     std::vector<standin_run> m_runs;
 };
 
+constexpr std::size_t largeResponseBytes = 4 << 20; ///< To a request whose path ends in "/large".
+
 /** A backend server with its heartbeats. Paths that end in "/fail" get its failure. A request whose path ends
  * in
  * "/crash" crashes it; it starts again under another id. */
@@ -142,6 +144,14 @@
     /** How many nodes a node knows, as its metrics say. */
     int knownNodes(std::size_t node);
 
+    /** How many bytes of messages a node holds, as its metrics say. */
+    std::size_t heldBytes(std::size_t node);
+
+    /** Most memory that a node's process has had resident, in bytes; 0 if it has ended. */
+    std::size_t peakMemory(std::size_t node) const;
+
+    const tcp::endpoint& callersEndpoint(std::size_t node) const { return m_nodes[node].callers; }
+
     void signal(std::size_t node, int number);
     void start(std::size_t node);
 
@@ -155,6 +165,7 @@
 
 private:
     std::optional<http_message> get(const tcp::endpoint& server, const std::string& target);
+    std::vector<double> metricValues(std::size_t node, const std::string& name);
 
     struct node_process {
         std::string settings;
