Wait on shutdown until callers have been sent their responses

Cause: a request was off the count of pending ones as soon as its response was queued for the socket, and nothing counted what callers had not taken.

A connection now counts as delivering until its responses are with the kernel and, while it drains, until the client has closed or the linger time is over. A node ends when nothing is pending, delivering or at its server, or when the grace period ends, as before.

The test uses the new count, so it cannot be built before.

--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -76,6 +76,7 @@
         while (!m_pending.empty() && (m_pending.front()->m_response || m_pending.front()->m_isAborted)) {
             auto responder = m_pending.front();
             m_pending.pop_front();
+            setDelivering(true); // Before the request is no longer pending, so that it always counts.
             --m_server.m_pending;
             if (responder->m_isAborted) {
                 closeConnection();
@@ -210,6 +211,16 @@
 
     std::size_t unsentBytes() const { return m_unsent.size() + m_writing.size() - m_writtenBytes; }
 
+    void setDelivering(bool isDelivering)
+    {
+        if (isDelivering == std::exchange(m_isDelivering, isDelivering))
+            return;
+        if (isDelivering)
+            ++m_server.m_delivering;
+        else
+            --m_server.m_delivering;
+    }
+
     void recordUnsent()
     {
         if (!m_throttle)
@@ -225,6 +236,8 @@
         if (m_unsent.empty()) {
             if (m_isClosing)
                 startLinger();
+            else
+                setDelivering(false);
             return;
         }
         m_writing.swap(m_unsent);
@@ -349,6 +362,7 @@
         }
         m_reader.takePartialMessage();
         cancelPending();
+        setDelivering(false);
     }
 
     http_server& m_server;
@@ -370,6 +384,7 @@
     instant m_lastProgress {}; ///< When the client last took a part of a response, or the response began.
     bool m_isReading = false;
     bool m_isWriting = false;
+    bool m_isDelivering = false;
     bool m_isStalled = false; ///< The client has not taken any byte for a while.
     bool m_isDiscardingInput = false;
     bool m_isClosing = false;
--- a/packages/proxy/src/http_server.h
+++ b/packages/proxy/src/http_server.h
@@ -96,6 +96,10 @@
     /** Number of requests not responded to yet. Thread safety: any thread. */
     std::size_t pendingCount() const { return m_pending; }
 
+    /** Number of connections whose clients have not been sent all of their responses, or that wait for the client
+     * to close after the last one. Thread safety: any thread. */
+    std::size_t deliveringCount() const { return m_delivering; }
+
 private:
     friend class http_server_connection;
 
@@ -106,6 +110,7 @@
     std::atomic<bool> m_isDraining { false };
     std::atomic<std::size_t> m_connections { 0 };
     std::atomic<std::size_t> m_pending { 0 };
+    std::atomic<std::size_t> m_delivering { 0 };
 };
 
 } // namespace pomelohub
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -514,7 +514,8 @@
         m_isGatewayDraining = true;
         asio::post(m_workers.front()->context, [this] { m_gateway->startDraining(); });
     }
-    bool isIdle = m_callerServer->pendingCount() == 0 && m_gateway->activeCount() == 0;
+    bool isIdle = m_callerServer->pendingCount() == 0 && m_callerServer->deliveringCount() == 0
+        && m_gateway->activeCount() == 0;
     bool hasGraceExpired = elapsed >= m_settings.gracePeriod - exitMargin;
     if ((isIdle && elapsed >= minShutdownDuration) || hasGraceExpired) {
         for (const auto& each : m_workers)
--- a/test/proxy/http_server.cpp
+++ b/test/proxy/http_server.cpp
@@ -115,6 +115,44 @@
     CHECK_FALSE(caller.wasReset);
 }
 
+TEST_CASE("A response counts as being delivered until its client has taken it, also while the server drains")
+{
+    server_fixture fixture;
+    tcp::socket caller(fixture.context);
+    caller.open(tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4096));
+    caller.connect(fixture.address);
+    asio::write(caller, asio::buffer(get));
+    REQUIRE(fixture.run([&] { return fixture.responders.size() == 1; }));
+    bool isDraining = false;
+    SUBCASE("in service") { }
+    SUBCASE("draining") { isDraining = true; }
+    if (isDraining)
+        fixture.server.startDraining();
+    const std::string body(32 << 20, 'x'); // More than the socket buffers take.
+    fixture.responders[0]->respond(makeResponse(200, body, "t"));
+    CHECK(fixture.server.pendingCount() == 0);
+    CHECK(fixture.server.deliveringCount() == 1);
+    fixture.context.run_for(50ms);
+    CHECK(fixture.server.deliveringCount() == 1);
+    std::size_t received = 0;
+    std::vector<char> input(1 << 20);
+    std::function<void()> read = [&] {
+        caller.async_read_some(asio::buffer(input), [&](std::error_code error, std::size_t length) {
+            received += length;
+            if (error)
+                caller.close();
+            else
+                read();
+        });
+    };
+    read();
+    REQUIRE(fixture.run([&] { return fixture.server.deliveringCount() == 0; }));
+    if (isDraining)
+        REQUIRE(fixture.run([&] { return !caller.is_open(); }));
+    CHECK(fixture.run([&] { return received > body.size(); }));
+}
+
 TEST_CASE("An answer that must not look complete ends its connection")
 {
     server_fixture fixture;
