Cancel a request that was refused at its start without a connection

A node crashed if an idempotent request was cancelled between its refusal at the start (its deadline had passed, its server left or it was quarantined) and the report of that, which is posted: cancel() used a connection that was not there. After that the posted handler released the slot a second time. Found by reading; no caller was seen to meet it.

cancel() aborts a connection only if there is one, and the posted handler does nothing for a request that has ended.

Evidence: the new test ended with SIGSEGV before, and passes now with one slot still in use.

--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -188,6 +188,8 @@
     auto remaining = request->m_deadline - now;
     if (auto startable = checkStart(*request, now); !startable) {
         asio::post(m_context, [this, request, reason = startable.error()] {
+            if (request->m_stage == gateway_request::stage::done)
+                return; // It was cancelled, which has released its slot.
             m_queue.release(std::nullopt, m_hooks.clock().monotonic);
             refuse(*request, reason, false);
         });
@@ -421,7 +423,8 @@
     case gateway_request::stage::running:
         request.onReply = nullptr;
         if (request.request.retryRule == retry_rule::idempotent) {
-            request.m_connection->cancel();
+            if (request.m_connection)
+                request.m_connection->cancel();
             finish(request, {});
             m_queue.release(std::nullopt, now);
         }
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -189,6 +189,30 @@
     CHECK(fixture.backend.requests[0].find("Expect-Instance: i-1") != std::string::npos);
 }
 
+TEST_CASE("A request may be cancelled after it was refused at its start, and gives its slot back once")
+{
+    gateway_fixture fixture;
+    auto offer = fixture.make(retry_rule::idempotent);
+    offer->hasPayload = false;
+    int grants = 0;
+    int replies = 0;
+    offer->onGranted = [&] { ++grants; };
+    offer->onReply = [&](const forward_reply&) { ++replies; };
+    fixture.gateway.submit(offer);
+    REQUIRE(grants == 1);
+    auto other = fixture.make(retry_rule::idempotent);
+    other->hasPayload = false;
+    other->onGranted = [&] { ++grants; };
+    fixture.gateway.submit(other);
+    REQUIRE(grants == 2);
+    fixture.quarantined.insert(7);
+    fixture.gateway.commit(*offer);
+    fixture.gateway.cancel(*offer);
+    fixture.context.run_for(20ms);
+    CHECK(replies == 0);
+    CHECK(fixture.gateway.report().inUse == 1);
+}
+
 TEST_CASE("Answers that prove nothing leave open whether the request ran")
 {
     SUBCASE("a reset") { checkMayHaveRun(gateway_fixture("reset").submit()); }
