End a call whose server sends interim responses without end

A server that sent 102 without end held each slot until the caller's time limit: 10 of 30 callers got 504 after 4 s, and 20 were refused.

Cause: interim responses were skipped without a count. A call now fails as an invalid response after 100 of them.

--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -28,6 +28,8 @@
         return std::chrono::seconds(seconds);
     }
 
+    constexpr std::size_t maxInterimResponses = 100; ///< To one request; more are not a response.
+
     /** Larger requests may fill the receive window of a server that pauses its reading. */
     constexpr std::size_t maxWindowedRequestBytes = 16 << 10;
 
@@ -63,6 +65,7 @@
     m_silenceTimeout = silenceTimeout;
     m_isHeadRequest = request.method == "HEAD";
     m_receivedBytes = 0;
+    m_interimCount = 0;
     m_response.reset();
     if (m_isOpen)
         send();
@@ -195,7 +198,9 @@
         return;
     }
     m_receivedBytes += length;
-    if (m_reader->read({ m_input.data(), length }) != http_read_error::none && !m_response) {
+    bool isMalformed = m_reader->read({ m_input.data(), length }) != http_read_error::none
+        || m_interimCount > maxInterimResponses;
+    if (isMalformed && !m_response) {
         fail(http_call_failure::invalidResponse);
         return;
     }
@@ -272,8 +277,10 @@
 void http_client_connection::onResponse(http_message&& response)
 {
     constexpr int firstFinalStatus = 200;
-    if (response.status < firstFinalStatus)
+    if (response.status < firstFinalStatus) {
+        ++m_interimCount;
         return;
+    }
     if (m_response) {
         m_isKeepAlive = false; // An unsolicited second response.
         return;
--- a/packages/proxy/src/http_client.h
+++ b/packages/proxy/src/http_client.h
@@ -109,6 +109,7 @@
     bool m_mayFillWindow = false; ///< The request may be larger than the receive window of the server.
     bool m_hasStreamEnded = false; ///< The server has ended its side of the connection, in order.
     std::size_t m_receivedBytes = 0;
+    std::size_t m_interimCount = 0; ///< Responses with a status below 200 to the current call.
     std::optional<std::chrono::seconds> m_keepAliveTimeout;
     std::optional<http_message> m_response;
 };
--- a/test/proxy/held_bytes.cpp
+++ b/test/proxy/held_bytes.cpp
@@ -188,6 +188,7 @@
         head = "HTTP/1.1 200 OK\r\n";
         part = "X: " + std::string(1000, 'y') + "\r\n";
     }
+    SUBCASE("interim responses") { part = "HTTP/1.1 102 Processing\r\n\r\n"; }
     SUBCASE("a large length") { head = "HTTP/1.1 200 OK\r\nContent-Length: 100000000000000\r\n\r\n"; }
     SUBCASE("a chunk extension") { head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;"; }
     SUBCASE("trailers")
--- a/test/proxy/http_client.cpp
+++ b/test/proxy/http_client.cpp
@@ -72,6 +72,31 @@
     CHECK((*outcome)->body == "xxxxxxxx");
 }
 
+TEST_CASE("A few interim responses may precede a response")
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, freeEndpoint());
+    tcp::socket socket(context);
+    acceptor.async_accept(socket, [&](std::error_code error) {
+        REQUIRE_FALSE(error);
+        std::string text;
+        for (int i = 0; i < 4; ++i)
+            text += "HTTP/1.1 102 Processing\r\n\r\n";
+        asio::write(socket, asio::buffer(text + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    });
+    handle<http_client_connection> connection(new http_client_connection(context, {}));
+    http_message request;
+    request.method = "GET";
+    request.target = "/";
+    std::optional<http_call_result> outcome;
+    connection->call(acceptor.local_endpoint(), request, 500ms, 5s,
+        [&](http_call_result result) { outcome = std::move(result); });
+    REQUIRE(runUntil(context, [&] { return outcome.has_value(); }));
+    REQUIRE(*outcome);
+    CHECK((*outcome)->body == "ok");
+    connection->cancel();
+}
+
 TEST_CASE("A response that stops arriving fails, and so does one beyond the time for the whole")
 {
     asio::io_context context;
