Keep a link open through bursts of refused offers and cancelled calls

At 200 requests a second before two busy servers no request was served for about 2 s, with "the node cannot be reached" 1,093 times.

Cause: each refused offer and each cancelled call resets its stream. The HTTP/2 library takes 1000 resets at once and 33 a second, as a limit against attacks, then ends the session and reads no more; the calls on it waited for the ping to fail.

Peers are nodes of the fleet, so the limit is raised to a rate that they cannot reach. A link whose session has ended by itself is closed at once, so that its calls fail without delay.

Both tests pass now. Open: no new link is opened on a GOAWAY of a peer until the old one closes.

--- a/packages/proxy/src/peer_link.cpp
+++ b/packages/proxy/src/peer_link.cpp
@@ -15,6 +15,10 @@
     constexpr std::int32_t streamWindowBytes = 256 << 10;
     constexpr std::int32_t connectionWindowBytes = 16 << 20;
     constexpr std::uint32_t maxConcurrentStreams = 4096;
+    /** Resets of streams that a link takes. Refused offers and cancelled calls reset theirs, and peers are
+     * nodes of the fleet, so the library's limits against attacks, 1000 and 33 a second, do not fit. */
+    constexpr std::uint64_t maxResetBurst = 1'000'000;
+    constexpr std::uint64_t maxResetsPerSecond = 100'000;
     constexpr std::size_t maxWriteBytes = 256 << 10; ///< Bytes collected before one write to the socket.
     constexpr duration minCheckInterval = std::chrono::milliseconds(1); ///< Between checks of the keepalive.
 
@@ -381,6 +385,7 @@
     // The streams carry project-specific messages rather than HTTP semantics, so HTTP checks are off.
     nghttp2_option_set_no_http_messaging(option, 1);
     nghttp2_option_set_no_auto_window_update(option, 1);
+    nghttp2_option_set_stream_reset_rate_limit(option, maxResetBurst, maxResetsPerSecond);
     if (isClient)
         nghttp2_session_client_new2(&m_session, sessionCallbacks, this, option);
     else
@@ -573,7 +578,13 @@
                 return;
             }
             self->writePending();
-            self->readNext();
+            // The session ends itself after an error of the protocol; calls must not wait for it.
+            bool hasEnded = !nghttp2_session_want_read(self->m_session)
+                && !nghttp2_session_want_write(self->m_session) && !self->m_isWriting;
+            if (hasEnded)
+                self->close();
+            else if (!self->m_isClosed)
+                self->readNext();
         });
 }
 
--- a/test/proxy/peer_link.cpp
+++ b/test/proxy/peer_link.cpp
@@ -108,6 +108,61 @@
         fixture.run([&] { return fixture.asking->streamCount() == 0 && fixture.asked->streamCount() == 0; }));
 }
 
+namespace {
+
+/** More in a short time than the HTTP/2 library takes of resets from a peer. */
+constexpr int burstCount = 3000;
+
+} // namespace
+
+TEST_CASE("A burst of refused offers leaves a link open and answering")
+{
+    link_fixture fixture;
+    constexpr int batch = 100;
+    int refused = 0;
+    int failed = 0;
+    std::vector<handle<peer_call>> calls;
+    while (refused + failed < burstCount) {
+        for (int i = 0; i < batch; ++i) {
+            calls.push_back(fixture.asking->call({ { { "type", "t" } }, "payload" }, true,
+                { nullptr, [&](peer_message&&) { ++refused; }, [&](peer_call_failure) { ++failed; } }));
+        }
+        REQUIRE(fixture.run([&] {
+            for (const auto& request : std::exchange(fixture.requests, {}))
+                request->reply({ { { "no", "1" } }, "" });
+            return refused + failed == static_cast<int>(calls.size());
+        }));
+    }
+    CHECK(failed == 0);
+    call_record record;
+    auto call = fixture.asking->call({ { { "type", "t" } }, "payload" }, false, record.hooks());
+    REQUIRE(fixture.run([&] { return fixture.requests.size() == 1 || record.failure; }));
+    REQUIRE_FALSE(record.failure);
+    fixture.requests[0]->reply({});
+    CHECK(fixture.run([&] { return record.reply.has_value(); }));
+    CHECK(fixture.run([&] { return fixture.asked->streamCount() == 0; }));
+}
+
+TEST_CASE("A burst of cancelled calls ends no other call of the link")
+{
+    link_fixture fixture;
+    call_record kept;
+    auto keptCall = fixture.asking->call({ { { "type", "kept" } }, "payload" }, false, kept.hooks());
+    REQUIRE(fixture.run([&] { return fixture.requests.size() == 1; }));
+    auto keptRequest = fixture.requests[0];
+    for (int i = 0; i < burstCount; ++i) {
+        call_record record;
+        auto call = fixture.asking->call({ { { "type", "t" } }, "payload" }, true, {});
+        REQUIRE(fixture.run([&] { return fixture.requests.size() == 2 || kept.failure; }));
+        REQUIRE_FALSE(kept.failure);
+        fixture.requests.pop_back();
+        call->cancel();
+    }
+    keptRequest->reply({});
+    REQUIRE(fixture.run([&] { return kept.reply || kept.failure; }));
+    CHECK(kept.reply.has_value());
+}
+
 TEST_CASE("A call that is cancelled ends at the other side, before and after the grant")
 {
     link_fixture fixture;
