--- a/packages/proxy/src/http_server.h
+++ b/packages/proxy/src/http_server.h
@@ -96,8 +96,8 @@
     /** Number of requests not responded to yet. Thread safety: any thread. */
     std::size_t pendingCount() const { return m_pending; }
 
-    /** Number of connections whose clients have not been sent all of their responses, or that wait for the client
-     * to close after the last one. Thread safety: any thread. */
+    /** Number of connections whose clients have not been sent all of their responses, or that wait for the
+     * client to close after the last one. Thread safety: any thread. */
     std::size_t deliveringCount() const { return m_delivering; }
 
 private:
