Hand out the burst of an allowance once while its owner changes

Cause: a node that stands in for an owner started with a full bucket if the fleet had started with it, and an owner that was back had saved up tokens for the time in which the stand-in granted them.

A stand-in starts empty and saves up 0.4 s of the rate only. An owner that did not run for over a second saves up nothing for that time; it marks each half second that it runs.

--- a/packages/decisions/src/rate_quota.cpp
+++ b/packages/decisions/src/rate_quota.cpp
@@ -15,19 +15,35 @@
     : m_policy(policy)
     , m_startsFull(startsFull)
     , m_startedAt(now)
+    , m_runningAt(now)
 {
 }
 
-quota_grant quota_allocator::grant(
-    const organisation_limits& limits, std::uint32_t wanted, double reachableFraction, instant now)
+void quota_allocator::recordRunning(instant now)
 {
-    auto full = std::max(limits.burst * reachableFraction, 1.0);
+    auto gap = now - std::exchange(m_runningAt, now);
+    if (gap <= m_policy.maxRunningGap)
+        return;
+    m_startedAt += gap;
+    for (auto& [organisation, bucket] : m_buckets)
+        bucket.refilledAt = std::min(bucket.refilledAt + gap, now);
+}
+
+quota_grant quota_allocator::grant(const organisation_limits& limits, std::uint32_t wanted,
+    double reachableFraction, instant now, quota_role role)
+{
+    recordRunning(now);
+    auto full = limits.burst * reachableFraction;
     auto perSecond = limits.tokensPerSecond * reachableFraction;
+    if (role == quota_role::standIn)
+        full = std::min(full, perSecond * toSeconds(m_policy.maxStandInSavings));
+    full = std::max(full, 1.0);
     auto [found, isNew] = m_buckets.try_emplace(limits.id);
     auto& bucket = found->second;
     if (isNew) {
-        bucket.level = m_startsFull ? full : 0;
-        bucket.refilledAt = m_startsFull ? now : m_startedAt;
+        bool startsFull = m_startsFull && role == quota_role::owner;
+        bucket.level = startsFull ? full : 0;
+        bucket.refilledAt = startsFull || role == quota_role::standIn ? now : m_startedAt;
     }
     bucket.level += toSeconds(now - bucket.refilledAt) * perSecond;
     bucket.level = std::min(bucket.level, full);
--- a/packages/decisions/src/rate_quota.h
+++ b/packages/decisions/src/rate_quota.h
@@ -21,10 +21,20 @@
 struct quota_policy {
     duration tokenLifetime = std::chrono::seconds(1); ///< Cached tokens expire, so that few can accumulate.
     std::uint32_t maxTokensPerRequest = 4; ///< Maximum number of tokens in one request to the owner.
+    /** A stand-in saves up tokens for this long only, so that a burst that the owner has granted, or will
+     * grant, is not granted again. */
+    duration maxStandInSavings = std::chrono::milliseconds(400);
+    duration maxRunningGap = std::chrono::seconds(1); ///< A longer one is a suspension.
     double maxAdvanceFraction = 0.1; ///< Fraction of the bucket's level that one request may take in advance.
     duration demandTimeConstant = std::chrono::seconds(1); ///< Time constant of the decaying request count.
 };
 
+/** As what a node grants tokens. */
+enum class quota_role {
+    owner, ///< The preferred owner of the organisation.
+    standIn, ///< It takes the place of an owner that it cannot reach, and that may still grant tokens.
+};
+
 /** The token buckets that this node owns. Thread safety: one thread at a time. */
 class quota_allocator {
 public:
@@ -35,8 +45,12 @@
     /** Takes up to \p wanted tokens from the bucket of an organisation. \param reachableFraction fraction of
      * the nodes that this node reaches. Rate and burst are scaled by it, so that the owners on the sides of a
      * network partition together stay within the rate. */
-    quota_grant grant(
-        const organisation_limits& limits, std::uint32_t wanted, double reachableFraction, instant now);
+    quota_grant grant(const organisation_limits& limits, std::uint32_t wanted, double reachableFraction,
+        instant now, quota_role role = quota_role::owner);
+
+    /** Records that this process runs. To be called at least each half second. No tokens accrue over a longer
+     * gap, in which a stand-in may have granted them. */
+    void recordRunning(instant now);
 
 private:
     struct bucket {
@@ -47,6 +61,7 @@
     quota_policy m_policy;
     bool m_startsFull;
     instant m_startedAt;
+    instant m_runningAt;
     std::unordered_map<organisation_id, bucket> m_buckets;
 };
 
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -25,6 +25,7 @@
      * always does.
      */
     constexpr std::size_t maxOwnerCandidates = 32;
+    constexpr duration runningInterval = milliseconds(500); ///< As quota_allocator::recordRunning() asks for.
     constexpr duration reloadInterval = std::chrono::seconds(2);
 
     choice_random_hook makeRandom()
@@ -196,6 +197,8 @@
             raw->context.run();
         });
     }
+    m_runningTimer = std::make_unique<one_shot_timer>(m_workers.front()->context);
+    asio::post(m_workers.front()->context, [this] { recordRunningPeriodically(); });
     m_controlLoop->start();
     waitForSignals(reload);
     reloadPeriodically(reload);
@@ -348,16 +351,25 @@
     return snapshot && snapshot->routes ? snapshot->routes->organisationNamed(id) : nullptr;
 }
 
-bool proxy_node::isActingOwner(
+/** As what this node grants the tokens of \p item; nothing if it can reach a preferred owner. */
+std::optional<quota_role> proxy_node::quotaRoleFor(
     const worker& observer, const fleet_snapshot& snapshot, const organisation_id& item, instant now) const
 {
+    auto role = quota_role::owner;
     for (const auto& owner : ownersOf(snapshot, item.text(), maxOwnerCandidates)) {
         if (owner.id == m_settings.node)
-            return true;
+            return role;
         if (!observer.forwarder.nodeReachability().isUnreachable(owner.endpoint, now))
-            return false;
+            return std::nullopt;
+        role = quota_role::standIn;
     }
-    return false;
+    return std::nullopt;
+}
+
+void proxy_node::recordRunningPeriodically()
+{
+    m_quotaAllocator.recordRunning(m_clock().monotonic);
+    m_runningTimer->startAfter(runningInterval, [this] { recordRunningPeriodically(); });
 }
 
 double proxy_node::reachableShare(const fleet_snapshot& snapshot, instant now) const
@@ -378,11 +390,12 @@
     auto requestedTokens = static_cast<std::uint32_t>(request->message.number("wanted"));
     auto now = m_clock().monotonic;
     auto snapshot = m_controller.snapshot();
-    if (!isActingOwner(*m_workers.front(), *snapshot, limits->id, now)) {
+    auto role = quotaRoleFor(*m_workers.front(), *snapshot, limits->id, now);
+    if (!role) {
         request->reply({}); // This node can reach a preferred owner; the sender falls back to its even share.
         return;
     }
-    auto grant = m_quotaAllocator.grant(*limits, requestedTokens, reachableShare(*snapshot, now), now);
+    auto grant = m_quotaAllocator.grant(*limits, requestedTokens, reachableShare(*snapshot, now), now, *role);
     request->reply(
         { { { "tokens", std::to_string(grant.tokens) }, { "retry-after", timeFieldText(grant.retryAfter) } },
             "" });
@@ -394,6 +407,7 @@
     auto snapshot = m_controller.snapshot();
     auto now = m_clock().monotonic;
     auto owners = ownersOf(*snapshot, limits->id.text(), maxOwnerCandidates);
+    bool isPreferred = !owners.empty() && owners.front().id == m_settings.node;
     std::erase_if(owners, [&](const fleet_node& each) {
         return each.id != m_settings.node
             && requester.forwarder.nodeReachability().isUnreachable(each.endpoint, now);
@@ -404,7 +418,8 @@
     }
     const auto& owner = owners.front();
     if (owner.id == m_settings.node && &requester == m_workers.front().get()) {
-        done(m_quotaAllocator.grant(*limits, requestedTokens, reachableShare(*snapshot, now), now));
+        auto role = isPreferred ? quota_role::owner : quota_role::standIn;
+        done(m_quotaAllocator.grant(*limits, requestedTokens, reachableShare(*snapshot, now), now, role));
         return;
     }
     peer_message request { { { "type", "allowance" }, { "organisation", limits->id.text() },
--- a/packages/proxy/src/proxy_node.h
+++ b/packages/proxy/src/proxy_node.h
@@ -55,8 +55,9 @@
     void handleForwardedRequest(const handle<peer_request>& request);
     void recordRequestGivenUp(http_message&& partialRequest);
     handle<const organisation_limits> findLimits(const organisation_id& id) const;
-    bool isActingOwner(const worker& observer, const fleet_snapshot& snapshot, const organisation_id& item,
-        instant now) const;
+    std::optional<quota_role> quotaRoleFor(const worker& observer, const fleet_snapshot& snapshot,
+        const organisation_id& item, instant now) const;
+    void recordRunningPeriodically();
     double reachableShare(const fleet_snapshot& snapshot, instant now) const;
     void handleQuotaRequest(const handle<peer_request>& request);
     void requestQuota(worker& requester, const handle<const organisation_limits>& limits,
@@ -84,7 +85,8 @@
     fleet_controller m_controller;
     std::vector<std::unique_ptr<worker>> m_workers;
     std::unique_ptr<backend_gateway> m_gateway;
-    quota_allocator m_quotaAllocator;
+    quota_allocator m_quotaAllocator; ///< Used on the thread of the first worker.
+    std::unique_ptr<one_shot_timer> m_runningTimer; ///< On that thread, too.
     std::unique_ptr<control_loop> m_controlLoop;
     std::unique_ptr<http_server> m_callerServer;
     std::unique_ptr<http_server> m_notificationServer;
--- a/test/proxy/allowance.cpp
+++ b/test/proxy/allowance.cpp
@@ -93,6 +93,111 @@
     }));
 }
 
+namespace {
+
+/** Nodes that may own the allowance of one organisation, in order of preference. The first one that runs acts
+ * as its owner; the others may be suspended or start again at any moment. */
+struct owner_candidates {
+    static constexpr std::size_t count = 3;
+    static constexpr duration tick = 500ms;
+
+    owner_candidates()
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            allocators.emplace_back(quota_policy {}, true, start);
+    }
+
+    std::uint32_t grant(const organisation_limits& limits, instant now)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            if (now < stoppedUntil[i])
+                continue;
+            auto role = i == 0 ? quota_role::owner : quota_role::standIn;
+            return allocators[i].grant(limits, 1, 1, now, role).tokens;
+        }
+        return 0;
+    }
+
+    void recordRunning(instant now)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            if (now >= stoppedUntil[i])
+                allocators[i].recordRunning(now);
+        }
+    }
+
+    std::vector<quota_allocator> allocators;
+    std::array<instant, count> stoppedUntil {};
+};
+
+} // namespace
+
+TEST_CASE(
+    "However often the owner of an allowance stands still or starts again, its burst is handed out once")
+{
+    CHECK(rc::check("requests over changes of the owner", [](std::vector<std::uint32_t> events) {
+        constexpr double perSecond = 40;
+        constexpr double burst = 200;
+        // The users' bound for five seconds: a tenth over, and twenty more.
+        constexpr double tolerated = (perSecond * 5 + burst) * 1.1 + 20;
+        auto limits = limitsOf(perSecond, burst);
+        owner_candidates candidates;
+        std::deque<instant> window;
+        auto now = start;
+        auto nextTick = start;
+        for (auto event : events) {
+            auto node = event % owner_candidates::count;
+            auto stop = std::chrono::milliseconds(event / 3 % 5000);
+            auto calm = std::chrono::milliseconds(200 + event / 15'000 % 4000);
+            if (event % 5 == 0)
+                candidates.allocators[node] = quota_allocator({}, false, now + stop);
+            candidates.stoppedUntil[node] = now + stop;
+            for (auto end = now + calm; now < end; now += 4ms) {
+                if (now >= nextTick) {
+                    candidates.recordRunning(now);
+                    nextTick = now + owner_candidates::tick;
+                }
+                if (candidates.grant(*limits, now) > 0)
+                    window.push_back(now);
+                while (!window.empty() && now - window.front() > 5s)
+                    window.pop_front();
+                RC_ASSERT(static_cast<double>(window.size()) <= tolerated);
+            }
+        }
+    }));
+}
+
+TEST_CASE("A stand-in grants the rate, and little more after the owner has been back")
+{
+    auto limits = limitsOf(40, 200);
+    quota_allocator standIn({}, true, start);
+    auto grantedIn = [&](instant from, duration time) {
+        std::uint32_t granted = 0;
+        for (auto now = from; now < from + time; now += 2ms)
+            granted += standIn.grant(*limits, 1, 1, now, quota_role::standIn).tokens;
+        return granted;
+    };
+    auto first = grantedIn(start, 2s);
+    CHECK(first >= 78);
+    CHECK(first <= 80);
+    auto again = grantedIn(start + 60s, 2s);
+    CHECK(again >= 78);
+    CHECK(again <= 100);
+}
+
+TEST_CASE("A stand-in also serves an organisation with few requests")
+{
+    auto limits = limitsOf(0.5, 1);
+    quota_allocator standIn({}, true, start);
+    standIn.grant(*limits, 1, 1, start, quota_role::standIn);
+    for (auto now = start; now < start + 30s; now += owner_candidates::tick) {
+        standIn.recordRunning(now);
+        bool isDue = now > start && (now - start) % 3s == 0s;
+        if (isDue)
+            CHECK(standIn.grant(*limits, 1, 1, now, quota_role::standIn).tokens == 1);
+    }
+}
+
 TEST_CASE("An organisation below its rate is not refused, wherever its requests come")
 {
     auto limits = limitsOf(25, 25);
