Take a thread's relief hook out of the memory account when its event loop ends

Found by reading, not seen by callers: when a process stops while its memory is short, the event loop of a worker frees messages after its receive_throttle is gone; the account then called the hook of that throttle, which posts to the loop.

The throttle removes its hook when it is destroyed. The new test uses an event loop that is gone; it was not run on the code before.

--- a/packages/decisions/src/memory_account.cpp
+++ b/packages/decisions/src/memory_account.cpp
@@ -43,8 +43,16 @@
     auto fallsBelow = [=](std::size_t limit) { return before >= limit && before - bytes < limit; };
     if (!fallsBelow(m_limits.pauseBytes) && !fallsBelow(m_limits.maxBytes))
         return;
-    for (const auto& hook : m_onRelieved)
-        hook();
+    for (const auto& hook : m_onRelieved) {
+        if (hook)
+            hook();
+    }
+}
+
+std::size_t memory_account::addReliefHook(std::function<void()> onRelieved)
+{
+    m_onRelieved.push_back(std::move(onRelieved));
+    return m_onRelieved.size() - 1;
 }
 
 bool memory_account::isMostlyGrowing() const
--- a/packages/decisions/src/memory_account.h
+++ b/packages/decisions/src/memory_account.h
@@ -63,8 +63,11 @@
     bool isMostlyGrowing() const;
 
     /** Adds a hook that is called when the account is no longer pressed or exhausted, on the thread that has
-     * released the bytes. Precondition: no other thread uses the account yet. */
-    void addReliefHook(std::function<void()> onRelieved) { m_onRelieved.push_back(std::move(onRelieved)); }
+     * released the bytes. Precondition: no other thread uses the account yet. \return its number. */
+    std::size_t addReliefHook(std::function<void()> onRelieved);
+
+    /** Removes a hook. Precondition: no other thread uses the account any more. */
+    void removeReliefHook(std::size_t number) { m_onRelieved.at(number) = nullptr; }
 
 private:
     memory_limits m_limits;
--- a/packages/proxy/src/receive_throttle.cpp
+++ b/packages/proxy/src/receive_throttle.cpp
@@ -14,12 +14,15 @@
     : m_controller(account, policy)
     , m_clock(std::move(clock))
     , m_timer(context)
-{
-    account.addReliefHook([this, &context] {
+    , m_reliefHook(account.addReliefHook([this, &context] {
         asio::post(context, [this] { m_controller.resumePaused(m_clock().monotonic); });
-    });
+    }))
+{
 }
 
+// Messages that the event loop still holds release their bytes later.
+receive_throttle::~receive_throttle() { m_controller.account().removeReliefHook(m_reliefHook); }
+
 growth receive_throttle::recordGrowth(
     growing_message& message, std::size_t bytes, std::optional<std::size_t> remainingBytes)
 {
--- a/packages/proxy/src/receive_throttle.h
+++ b/packages/proxy/src/receive_throttle.h
@@ -13,10 +13,13 @@
 /** Thread safety: the thread of its execution context. */
 class receive_throttle {
 public:
-    /** The account must outlive the throttle, which registers a relief hook with it. Precondition: that of
+    /** The account must outlive the throttle, which keeps a relief hook there. Precondition: that of
      * memory_account::addReliefHook(). */
     receive_throttle(
         asio::io_context& context, memory_account& account, growth_policy policy, clock_hook clock);
+    ~receive_throttle();
+    receive_throttle(const receive_throttle&) = delete;
+    receive_throttle& operator=(const receive_throttle&) = delete;
 
     /** A charge of the account for bytes of \p holder. */
     memory_charge makeCharge(byte_holder holder) { return { &m_controller.account(), holder }; }
@@ -43,6 +46,7 @@
     growth_controller m_controller;
     clock_hook m_clock;
     one_shot_timer m_timer;
+    std::size_t m_reliefHook;
     bool m_isChecking = false;
 };
 
--- a/test/proxy/held_bytes.cpp
+++ b/test/proxy/held_bytes.cpp
@@ -133,6 +133,19 @@
 
 } // namespace
 
+TEST_CASE("Bytes may be released when the event loop that received them is gone")
+{
+    memory_account account(limits);
+    memory_charge charge(&account, byte_holder::callerRequest);
+    {
+        asio::io_context context;
+        receive_throttle throttle(context, account, {}, readSystemClock);
+        charge.resize(limits.maxBytes);
+    }
+    charge.resize(0);
+    CHECK(account.heldBytes() == 0);
+}
+
 TEST_CASE("Responses without end are given up at the bound, and small responses pass meanwhile")
 {
     memory_fixture fixture;
