--- a/packages/decisions/src/growth_controller.cpp
+++ b/packages/decisions/src/growth_controller.cpp
@@ -118,10 +118,11 @@
     return true;
 }
 
-bool growth_controller::hasPaused() const
+growing_message* growth_controller::findPaused()
 {
-    return std::any_of(
+    auto found = std::find_if(
         m_growing.begin(), m_growing.end(), [](const growing_message& each) { return each.m_isPaused; });
+    return found == m_growing.end() ? nullptr : &*found;
 }
 
 void growth_controller::resumePaused(instant now)
@@ -136,9 +137,8 @@
     if (hasPaused())
         relieve();
     while (!m_account.isPressed()) {
-        auto paused = std::find_if(
-            m_growing.begin(), m_growing.end(), [](const growing_message& each) { return each.m_isPaused; });
-        if (paused == m_growing.end())
+        auto* paused = findPaused();
+        if (!paused)
             return;
         resume(*paused);
     }
--- a/packages/decisions/src/growth_controller.h
+++ b/packages/decisions/src/growth_controller.h
@@ -108,9 +108,10 @@
      * may stall. */
     void resumePaused(instant now);
 
-    bool hasPaused() const;
+    bool hasPaused() { return findPaused() != nullptr; }
 
 private:
+    growing_message* findPaused();
     growing_message* selectNext(instant now);
     void relieve();
     bool endLargestStalled();
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -151,6 +151,14 @@
         hook(std::move(reply));
 }
 
+void backend_gateway::finishAsMayHaveRun(gateway_request& request, refusal_reason reason, std::string detail)
+{
+    forward_reply reply;
+    reply.response = mayHaveRun(reason, std::move(detail));
+    reply.hasReachedBackend = true;
+    finish(request, std::move(reply));
+}
+
 void backend_gateway::start(const handle<gateway_request>& request, instant now)
 {
     m_activeRequests.push_back(request);
@@ -227,11 +235,8 @@
         connection->cancel();
         recordOutcome(request, backend_outcome::broken, now);
         m_queue.release(std::nullopt, now);
-        forward_reply reply;
-        reply.response
-            = mayHaveRun(refusal_reason::backendServerFailed, "the answer is not that of the request");
-        reply.hasReachedBackend = true;
-        finish(request, std::move(reply));
+        finishAsMayHaveRun(
+            request, refusal_reason::backendServerFailed, "the answer is not that of the request");
         return;
     }
     if (connection->isReusable())
@@ -309,13 +314,10 @@
     }
     m_queue.release(std::nullopt, now); // After recordOutcome(), which may refuse the requests that wait.
     verifyServer();
-    forward_reply reply;
     auto reason = isPastDeadline ? refusal_reason::deadlineExceeded : refusal_reason::backendServerFailed;
-    reply.response = mayHaveRun(reason,
+    finishAsMayHaveRun(request, reason,
         failure == http_call_failure::invalidResponse ? "the answer was cut short or spoiled"
                                                       : "no answer came");
-    reply.hasReachedBackend = true;
-    finish(request, std::move(reply));
 }
 
 /** Ends a request whose response this process cannot hold. The server is at fault if it has announced no
@@ -330,10 +332,7 @@
     if (!connection->hasResponseLength())
         recordOutcome(request, backend_outcome::broken, now);
     m_queue.release(std::nullopt, now);
-    forward_reply reply;
-    reply.response = mayHaveRun(refusal_reason::memoryExhausted, "the response is too large to be held");
-    reply.hasReachedBackend = true;
-    finish(request, std::move(reply));
+    finishAsMayHaveRun(request, refusal_reason::memoryExhausted, "the response is too large to be held");
 }
 
 void backend_gateway::recordOutcome(gateway_request& request, backend_outcome outcome, instant now)
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -144,6 +144,7 @@
     duration avoidDurationFor(refusal_reason reason) const;
     void refuse(gateway_request& request, const request_error& refusal, bool hasReachedBackend);
     void finish(gateway_request& request, forward_reply reply);
+    void finishAsMayHaveRun(gateway_request& request, refusal_reason reason, std::string detail);
     void start(const handle<gateway_request>& request, instant now);
     void run(const handle<gateway_request>& request, instant now);
     void handleResult(gateway_request& request, http_call_result result);
--- a/packages/proxy/src/http_client.cpp
+++ b/packages/proxy/src/http_client.cpp
@@ -100,10 +100,7 @@
                 http_reader::hooks {
                     [raw = self.get()](http_message&& response) { raw->onResponse(std::move(response)); },
                     nullptr, [raw = self.get()] { return raw->m_isHeadRequest; },
-                    [raw = self.get()] {
-                        return raw->m_throttle ? raw->m_throttle->makeBody(byte_holder::backendResponse)
-                                               : message_body();
-                    } });
+                    [raw = self.get()] { return makeBody(raw->m_throttle, byte_holder::backendResponse); } });
             if (self->m_opened)
                 self->finishOpening({});
             else
--- a/packages/proxy/src/http_message.cpp
+++ b/packages/proxy/src/http_message.cpp
@@ -96,11 +96,6 @@
     return text;
 }
 
-std::string serializeRequest(const http_message& message)
-{
-    return serializeRequestHead(message).append(message.body);
-}
-
 bool mayHaveBody(const http_message& message) { return message.status != 204 && message.status != 304; }
 
 std::string serializeResponseHead(const http_message& message, bool isClosing, bool isBodiless)
--- a/packages/proxy/src/http_message.h
+++ b/packages/proxy/src/http_message.h
@@ -50,9 +50,6 @@
  * is empty, except for POST, PUT and PATCH. */
 std::string serializeRequestHead(const http_message& message);
 
-/** Serializes a request with its body. */
-std::string serializeRequest(const http_message& message);
-
 /** Whether a response with the status of \p message can have a body. */
 bool mayHaveBody(const http_message& message);
 
--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -46,9 +46,7 @@
         , m_reader(HTTP_REQUEST, limits.reader,
               { [this](http_message&& message) { handleRequest(std::move(message)); },
                   [this] { sendContinue(); }, nullptr,
-                  [this] {
-                      return m_throttle ? m_throttle->makeBody(byte_holder::callerRequest) : message_body();
-                  } })
+                  [this] { return makeBody(m_throttle, byte_holder::callerRequest); } })
     {
         ++m_server.m_connections;
         m_growth.setHooks({ [this] { readMore(); }, [this] { giveUpRequest(); } });
--- a/packages/proxy/src/message_body.h
+++ b/packages/proxy/src/message_body.h
@@ -30,7 +30,6 @@
         return m_content ? std::string_view(m_content->bytes) : std::string_view();
     }
     operator std::string_view() const { return view(); }
-    const char* data() const { return view().data(); }
     std::size_t size() const { return view().size(); }
     bool empty() const { return view().empty(); }
 
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -208,10 +208,8 @@
                     return;
                 recordResponse(forwardCall->m_peer->announcement.endpoint);
                 forwardCall->release();
-                done(decodeForwardReply(message, isHead, [this] {
-                    return m_hooks.throttle ? m_hooks.throttle->makeBody(byte_holder::backendResponse)
-                                            : message_body();
-                }));
+                done(decodeForwardReply(message, isHead,
+                    [this] { return makeBody(m_hooks.throttle, byte_holder::backendResponse); }));
             },
             [fail](peer_call_failure failure) {
                 bool isPayloadCommitted = failure == peer_call_failure::streamLost;
--- a/packages/proxy/src/receive_throttle.h
+++ b/packages/proxy/src/receive_throttle.h
@@ -50,4 +50,10 @@
     bool m_isChecking = false;
 };
 
+/** An empty body whose bytes \p throttle counts, or nobody if it is null. */
+inline message_body makeBody(receive_throttle* throttle, byte_holder holder)
+{
+    return throttle ? throttle->makeBody(holder) : message_body();
+}
+
 } // namespace pomelohub
--- a/test/proxy/http_reader.cpp
+++ b/test/proxy/http_reader.cpp
@@ -141,7 +141,7 @@
     request.fields = { { "Host", "h" }, { "X-End", "2" } };
     request.body = std::string("a\0b\r\n\r\n", 7);
     reader_fixture fixture;
-    REQUIRE(fixture.reader.read(serializeRequest(request)) == http_read_error::none);
+    REQUIRE(fixture.reader.read(serializeRequestHead(request).append(request.body)) == http_read_error::none);
     REQUIRE(fixture.messages.size() == 1);
     CHECK(fixture.messages[0].body == request.body);
     CHECK(fixture.messages[0].target == request.target);
--- a/test/proxy_process/memory_of_nodes.cpp
+++ b/test/proxy_process/memory_of_nodes.cpp
@@ -27,8 +27,8 @@
         patient["limits"] = { { "max_header_bytes", 16384 }, { "max_body_bytes", 64 * megabyte },
             { "header_timeout_s", 5 }, { "idle_timeout_s", 5 } };
         configure(patient);
-        REQUIRE(waitFor([&] { return allAnswer("/browse/x", "k1", 200); }));
-        std::this_thread::sleep_for(1s); // The configuration is in force everywhere.
+        for (std::size_t node = 0; node < size(); ++node)
+            REQUIRE(waitFor([&] { return configurationVersion(node) == 2; }));
     }
 
     http_message request(const std::string& method, const std::string& target, message_body body = {})
@@ -130,7 +130,7 @@
         socket.open(tcp::v4());
         socket.set_option(asio::socket_base::receive_buffer_size(4096));
         socket.connect(fleet.callersEndpoint(0));
-        asio::write(socket, asio::buffer(serializeRequest(fleet.request("GET", "/browse/large"))));
+        asio::write(socket, asio::buffer(serializeRequestHead(fleet.request("GET", "/browse/large"))));
     }
     auto end = std::chrono::steady_clock::now() + 15s;
     fleet.play(context, "/bids/x", [&] { return std::chrono::steady_clock::now() > end; });
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -424,12 +424,19 @@
     return values;
 }
 
-int proxy_fleet::knownNodes(std::size_t node)
+int proxy_fleet::metricValue(std::size_t node, const std::string& name)
 {
-    auto values = metricValues(node, "pomelohub_known_nodes");
+    auto values = metricValues(node, name);
     return values.empty() ? 0 : static_cast<int>(values.front());
 }
 
+int proxy_fleet::knownNodes(std::size_t node) { return metricValue(node, "pomelohub_known_nodes"); }
+
+int proxy_fleet::configurationVersion(std::size_t node)
+{
+    return metricValue(node, "pomelohub_configuration_version");
+}
+
 std::size_t proxy_fleet::heldBytes(std::size_t node)
 {
     auto values = metricValues(node, "pomelohub_held_bytes");
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -144,6 +144,9 @@
     /** How many nodes a node knows, as its metrics say. */
     int knownNodes(std::size_t node);
 
+    /** Version of the configuration in force at a node, as its metrics say. */
+    int configurationVersion(std::size_t node);
+
     /** How many bytes of messages a node holds, as its metrics say. */
     std::size_t heldBytes(std::size_t node);
 
@@ -166,6 +169,7 @@
 private:
     std::optional<http_message> get(const tcp::endpoint& server, const std::string& target);
     std::vector<double> metricValues(std::size_t node, const std::string& name);
+    int metricValue(std::size_t node, const std::string& name);
 
     struct node_process {
         std::string settings;
