Test that a node which is told to stop sends a caller all of its answer

The process test reads 16.8 MB at 4 MB a second from a node that gets SIGTERM. The process tests build requests of callers in one place.

--- a/test/proxy_process/memory_of_nodes.cpp
+++ b/test/proxy_process/memory_of_nodes.cpp
@@ -33,13 +33,7 @@
 
     http_message request(const std::string& method, const std::string& target, message_body body = {})
     {
-        http_message message;
-        message.method = method;
-        message.target = target;
-        message.fields = { { "Host", "shop.example" }, { "Request-Id", nextId() }, { "Deadline-Ms", "25000" },
-            { "Authorization", "Bearer k1" } };
-        message.body = std::move(body);
-        return message;
+        return makeCallerRequest(method, target, nextId(), "k1", 25s, std::move(body));
     }
 
     /** Runs \p context until \p isDone, while small requests for \p target are sent to all nodes. */
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -60,6 +60,18 @@
 
 } // namespace
 
+http_message makeCallerRequest(const std::string& method, const std::string& target, const std::string& id,
+    const std::string& key, milliseconds timeout, message_body body)
+{
+    http_message request;
+    request.method = method;
+    request.target = target;
+    request.fields = { { "Host", "shop.example" }, { "Request-Id", id },
+        { "Deadline-Ms", std::to_string(timeout.count()) }, { "Authorization", "Bearer " + key } };
+    request.body = std::move(body);
+    return request;
+}
+
 standin_store::standin_store(asio::io_context& context)
     : m_context(context)
     , m_server(context,
@@ -206,8 +218,11 @@
         return;
     }
     auto status = request.target.ends_with("/fail") ? 500 : 200;
-    auto body
-        = request.target.ends_with("/large") ? std::string(largeResponseBytes, 'x') : "done by " + m_service;
+    auto body = "done by " + m_service;
+    if (request.target.ends_with("/large"))
+        body.assign(largeResponseBytes, 'x');
+    if (request.target.ends_with("/huge"))
+        body.assign(hugeResponseBytes, 'x');
     auto answer = makeResponse(status, std::move(body), "text/plain");
     answer.fields.push_back({ "Request-Id", text("Request-Id") });
     answer.fields.push_back({ "Server-Stamp", m_id });
@@ -369,11 +384,7 @@
 std::optional<http_message> proxy_fleet::send(std::size_t node, const std::string& method,
     const std::string& target, const std::string& id, const std::string& key)
 {
-    http_message request;
-    request.method = method;
-    request.target = target;
-    request.fields = { { "Host", "shop.example" }, { "Request-Id", id }, { "Deadline-Ms", "5000" },
-        { "Authorization", "Bearer " + key } };
+    auto request = makeCallerRequest(method, target, id, key, std::chrono::seconds(5));
     asio::io_context context;
     handle<http_client_connection> connection(new http_client_connection(context, {}));
     std::optional<http_message> answer;
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -82,6 +82,11 @@
 };
 
 constexpr std::size_t largeResponseBytes = 4 << 20; ///< To a request whose path ends in "/large".
+constexpr std::size_t hugeResponseBytes = 16 << 20; ///< To a request whose path ends in "/huge".
+
+/** A request as callers send it to a node. */
+http_message makeCallerRequest(const std::string& method, const std::string& target, const std::string& id,
+    const std::string& key, std::chrono::milliseconds timeout, message_body body = {});
 
 /** A backend server with its heartbeats. Paths that end in "/fail" get its failure. A request whose path ends
  * in
