End a process whose standard output nobody reads

Cause: the destructor of the log joins its writer thread, which was blocked in a write to standard output. Nothing can end such a write.

The sink now waits for room by poll() before it writes at most PIPE_BUF bytes. When the log is closed, an event counter interrupts the wait; the reader has 0.2 s more, then lines are discarded. That fits into the half second which a node keeps free at the end of its grace period.

--- a/packages/proxy/src/event_log.cpp
+++ b/packages/proxy/src/event_log.cpp
@@ -1,12 +1,14 @@
 #include "event_log.h"
 
 #include "hashing.h"
+#include "stdout_sink.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <unistd.h>
+
 namespace pomelohub {
 
 namespace {
@@ -52,15 +54,16 @@
     , m_clock(std::move(clock))
 {
     spdlog::init_thread_pool(policy.maxQueuedLines, 1);
-    m_logger
-        = std::make_shared<spdlog::async_logger>("events", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
-            spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    m_sink = std::make_shared<stdout_sink>(STDOUT_FILENO, m_clock);
+    m_logger = std::make_shared<spdlog::async_logger>(
+        "events", m_sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     m_logger->set_pattern("%v");
     m_logger->flush_on(spdlog::level::info);
 }
 
 event_log::~event_log()
 {
+    m_sink->close(m_clock().monotonic + m_policy.maxCloseTime);
     // Stop the logging thread before the sink it writes to is destroyed.
     spdlog::shutdown();
     m_logger.reset();
--- a/packages/proxy/src/event_log.h
+++ b/packages/proxy/src/event_log.h
@@ -17,6 +17,8 @@
 
 namespace pomelohub {
 
+class stdout_sink;
+
 /** One field of a log line, already encoded as JSON; numbers and booleans are written without quotes. */
 struct event_field {
     event_field(std::string_view name, std::string_view value);
@@ -48,6 +50,7 @@
     std::size_t maxQueuedLines = 4096; ///< Bounds memory use while standard output is not being read.
     std::uint32_t maxFailureLinesPerSecond = 200; ///< Lines beyond this limit are counted as dropped.
     std::uint32_t routineSampleInterval = 16; ///< One in this many routine requests is logged.
+    duration maxCloseTime = std::chrono::milliseconds(200); ///< For the reader to take the last lines.
 };
 
 /** The logging thread is shared by the process, so at most one event_log may exist at a time. Thread safety:
@@ -55,6 +58,8 @@
 class event_log {
 public:
     event_log(node_id node, event_log_policy policy, clock_hook clock);
+
+    /** Gives the reader of standard output a short time to take the last lines. */
     ~event_log();
     event_log(const event_log&) = delete;
     event_log& operator=(const event_log&) = delete;
@@ -77,6 +82,7 @@
     node_id m_node;
     event_log_policy m_policy;
     clock_hook m_clock;
+    std::shared_ptr<stdout_sink> m_sink;
     std::shared_ptr<spdlog::logger> m_logger;
     std::atomic<std::int64_t> m_currentSecond { 0 };
     std::atomic<std::uint32_t> m_failureLinesInSecond { 0 };
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -330,7 +330,7 @@
     std::filesystem::remove_all(m_directory);
 }
 
-void proxy_fleet::start(std::size_t node)
+void proxy_fleet::start(std::size_t node, int output)
 {
     std::string program = std::string(POMELOHUB_BINARIES) + "/pomelohub-proxy";
     std::string option = "--settings";
@@ -338,7 +338,11 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     auto log = m_nodes[node].settings + ".log";
-    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (output >= 0)
+        posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    else
+        posix_spawn_file_actions_addopen(
+            &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     REQUIRE(posix_spawn(&m_nodes[node].process, program.c_str(), &actions, nullptr, arguments.data(), environ)
         == 0);
     posix_spawn_file_actions_destroy(&actions);
@@ -357,6 +361,15 @@
 
 void proxy_fleet::signal(std::size_t node, int number) { kill(m_nodes[node].process, number); }
 
+std::optional<int> proxy_fleet::exitStatus(std::size_t node)
+{
+    int status = 0;
+    if (waitpid(m_nodes[node].process, &status, WNOHANG) == 0)
+        return std::nullopt;
+    m_nodes[node].process = -1;
+    return status;
+}
+
 int proxy_fleet::waitForEnd(std::size_t node)
 {
     int status = 0;
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -161,7 +161,12 @@
     const tcp::endpoint& callersEndpoint(std::size_t node) const { return m_nodes[node].callers; }
 
     void signal(std::size_t node, int number);
-    void start(std::size_t node);
+
+    /** Starts a node's process. \param output its standard output; a log file if negative. */
+    void start(std::size_t node, int output = -1);
+
+    /** \return the exit status of a node's process, or nothing while it runs. */
+    std::optional<int> exitStatus(std::size_t node);
 
     /** Waits for the end of a node's process. \return its exit status. */
     int waitForEnd(std::size_t node);
--- a/test/proxy_process/shutdown_delivery.cpp
+++ b/test/proxy_process/shutdown_delivery.cpp
@@ -1,6 +1,7 @@
 /** \file
  * A node that is told to stop does not cut an answer that its caller still reads.
  */
+#include "full_pipe.h"
 #include "serving_fleet.h"
 
 #include <csignal>
@@ -62,3 +63,21 @@
     CHECK(caller.received > hugeResponseBytes); // The head comes with it.
     CHECK(WIFEXITED(fleet.waitForEnd(0)));
 }
+
+// Guards against a process that waits for the reader of its log when it exits.
+TEST_CASE("A node whose standard output nobody reads serves, and ends within its grace period")
+{
+    constexpr auto gracePeriod = 6s; // As the fleet's settings say.
+    serving_fleet fleet;
+    full_pipe output;
+    fleet.signal(0, SIGKILL);
+    fleet.waitForEnd(0);
+    fleet.start(0, output.writer());
+    REQUIRE(fleet.waitFor([&] { return fleet.isReady(0) && fleet.serves(0, "/bids/x", "k1"); }));
+    auto start = std::chrono::steady_clock::now();
+    fleet.signal(0, SIGTERM);
+    std::optional<int> status;
+    REQUIRE(fleet.waitFor([&] { return (status = fleet.exitStatus(0)).has_value(); }));
+    CHECK(WIFEXITED(*status));
+    CHECK(std::chrono::steady_clock::now() - start < gracePeriod);
+}
