Send new calls on a new link once a node has said GOAWAY

A node that ends its side of a link in order could still be sent calls on it. They were never written, so their requests waited until their own time limits, or failed as "may have run" with the link.

Cause: the link did not look at GOAWAY. The HTTP/2 library does not open streams after it, and a request that is already submitted is dropped without a word but that of the callback for frames that are not sent.

A link that has got GOAWAY takes no further calls; the forwarder opens another one beside it. Accepted calls go on, those after the last accepted stream fail as not sent, and so do those that were submitted but not written. The link closes when its last stream has ended, without counting as lost.

--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -82,8 +82,8 @@
         // The peer_state of an earlier snapshot is replaced: only the current one is updated.
         entry.peers = { peer };
     }
-    // An unresponsive link is kept by the calls that wait on it; new requests open a new one.
-    if (entry.link && entry.link->isOpen() && !entry.link->isUnresponsive())
+    // A link that is unresponsive or takes no further calls is kept by the calls that wait on it.
+    if (entry.link && entry.link->acceptsCalls() && !entry.link->isUnresponsive())
         return entry.link;
     auto address = endpointFromText(endpoint);
     if (!address)
--- a/packages/proxy/src/peer_link.cpp
+++ b/packages/proxy/src/peer_link.cpp
@@ -192,6 +192,8 @@
     {
         auto& link = linkOf(user);
         bool isEnd = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+        if (frame->hd.type == NGHTTP2_GOAWAY)
+            link.m_isRetired = true; // The session closes the streams that the server has not accepted.
         if (frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA)
             return 0;
         if (link.m_isClient)
@@ -242,6 +244,16 @@
         }
     }
 
+    /** A request that was submitted before the GOAWAY frame of the server was read never leaves. */
+    static int onFrameNotSent(nghttp2_session*, const nghttp2_frame* frame, int, void* user)
+    {
+        auto& link = linkOf(user);
+        bool isRequest = frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST;
+        if (auto found = link.m_calls.find(frame->hd.stream_id); isRequest && found != link.m_calls.end())
+            found->second->m_isCommitted = false;
+        return 0;
+    }
+
     static int onStreamClose(nghttp2_session*, std::int32_t stream, std::uint32_t code, void* user)
     {
         auto& link = linkOf(user);
@@ -323,6 +335,7 @@
         nghttp2_session_callbacks_set_on_header_callback(newCallbacks, onHeader);
         nghttp2_session_callbacks_set_on_data_chunk_recv_callback(newCallbacks, onData);
         nghttp2_session_callbacks_set_on_frame_recv_callback(newCallbacks, onFrameReceived);
+        nghttp2_session_callbacks_set_on_frame_not_send_callback(newCallbacks, onFrameNotSent);
         nghttp2_session_callbacks_set_on_stream_close_callback(newCallbacks, onStreamClose);
         return newCallbacks;
     }
@@ -459,7 +472,7 @@
 
 void peer_link::submitCall(peer_call& call, const std::vector<http_field>& fields, bool isOffer)
 {
-    if (!m_isClosed) {
+    if (acceptsCalls()) {
         auto length = std::to_string(call.m_payload.size());
         auto headers = makeHeaders(isOffer ? kindOffer : kindRequest, length, fields);
         nghttp2_data_provider provider { { .ptr = &call }, callbacks::readCallPayload };
@@ -581,7 +594,9 @@
             // The session ends itself after an error of the protocol; calls must not wait for it.
             bool hasEnded = !nghttp2_session_want_read(self->m_session)
                 && !nghttp2_session_want_write(self->m_session) && !self->m_isWriting;
-            if (hasEnded)
+            if (hasEnded && self->m_isRetired && self->streamCount() == 0)
+                self->closeUnused();
+            else if (hasEnded)
                 self->close();
             else if (!self->m_isClosed)
                 self->readNext();
@@ -670,9 +685,7 @@
     if (streamCount() > 0) {
         m_lastUsed = now;
     } else if (!m_pingSentAt && now >= idleEnd()) {
-        if (m_hooks.onIdle)
-            m_hooks.onIdle();
-        close();
+        closeUnused();
         return;
     }
     if (!m_pingSentAt && now - m_lastReceived >= pingIntervalFor(streamCount())) {
@@ -707,6 +720,13 @@
         callbacks::endRequest(*request);
 }
 
+void peer_link::closeUnused()
+{
+    if (m_hooks.onIdle)
+        m_hooks.onIdle();
+    close();
+}
+
 void peer_link::close()
 {
     if (m_isClosed)
--- a/packages/proxy/src/peer_link.h
+++ b/packages/proxy/src/peer_link.h
@@ -160,7 +160,8 @@
         std::function<void()> onClosed;
         peer_request_hook onRequest; ///< Called in the server role only.
         clock_hook clock;
-        /** The link has had no open stream for the idle timeout and closes; called before onClosed. */
+        /** The link closes in order: it has had no open stream for the idle timeout, or the server takes no
+         * further calls and all have ended. Called before onClosed. */
         std::function<void()> onIdle = nullptr;
         /** Limits the memory of what is received, by the flow control windows of the streams and by resetting
          * streams. It must outlive the link. If null, memory is not limited. */
@@ -194,6 +195,10 @@
     void close();
 
     bool isOpen() const { return !m_isClosed; }
+
+    /** Whether new calls may be sent on it: it is open, and the server has not said (GOAWAY) that it takes no
+     * further ones. Other calls fail as not sent. */
+    bool acceptsCalls() const { return !m_isClosed && !m_isRetired; }
     bool isConnected() const { return m_isConnected && !m_isClosed; }
     bool isUnresponsive() const { return m_isUnresponsive; }
 
@@ -228,6 +233,7 @@
     void recordReceived();
     void setUnresponsive(bool isUnresponsive);
     void endStreams();
+    void closeUnused();
 
     asio::ip::tcp::socket m_socket;
     one_shot_timer m_timer;
@@ -249,6 +255,7 @@
     bool m_isWriting = false;
     bool m_isInsideSession = false;
     bool m_isUnresponsive = false;
+    bool m_isRetired = false; ///< The server takes no further calls.
     bool m_isClosed = false;
 };
 
