Ask a server whether it leaves before a restarted node sends it requests

A server that has deregistered still runs for a while. If its node was started again meanwhile and then got a late heartbeat of it, the node took it for a server that accepts requests.

Cause: a farewell is known to the process that acknowledged it only, and a heartbeat may have been under way for seconds.

The first server that a process learns of is unconfirmed, unless the heartbeat is its first. The gateway asks it by its health path: a 200 with its own id and without the sign of leaving confirms it, so does a heartbeat that comes more than 5 s after the first one. Until then it gets no requests. A record of farewells in the store was weighed: it is missing if the node dies before it is written, or the store is away.

Evidence: the gateway test "A restarted node asks its server..." failed on the code before (it asked nothing), and the tests of backend_identity need the new state. Seen from the source only; no run has shown a request at such a server.

--- a/packages/decisions/src/backend_identity.cpp
+++ b/packages/decisions/src/backend_identity.cpp
@@ -4,11 +4,16 @@
 
 namespace pomelohub {
 
+namespace {
+
+    /** Each start numbers its heartbeats from 1, so a first heartbeat is from a new start even if the wall
+     * clock says otherwise. */
+    constexpr std::uint64_t firstSequence = 1;
+
+} // namespace
+
 bool backend_identity::isSameStart(const backend_heartbeat& heartbeat) const
 {
-    // Each start numbers its heartbeats from 1, so a first heartbeat is from a new start even if the wall
-    // clock says otherwise.
-    constexpr std::uint64_t firstSequence = 1;
     if (!m_current || m_current->id != heartbeat.id)
         return false;
     if (m_hasLeft && m_current->startedAt == wall_time {})
@@ -23,8 +28,14 @@
     bool isSame = isSameStart(heartbeat);
     if (isSame && heartbeat.sequence <= m_current->sequence)
         return heartbeat_effect::stale;
-    if (!isSame)
+    if (!isSame) {
         m_hasLeft = false;
+        m_isUnconfirmed = !m_hasKnownAny && heartbeat.sequence > firstSequence;
+        m_firstHeartbeatAt = now;
+    } else if (now - m_firstHeartbeatAt > maxHeartbeatDelay) {
+        m_isUnconfirmed = false; // It was sent after this process had started.
+    }
+    m_hasKnownAny = true;
     auto next = heartbeat;
     // Draining is final for a start; a heartbeat that says otherwise is overruled.
     if (isSame && m_current->isDraining)
@@ -48,6 +59,7 @@
         m_current->startedAt = startedAt;
     }
     m_newestStart = std::max(m_newestStart, startedAt);
+    m_hasKnownAny = true;
     m_hasLeft = true;
     m_leftAt = now;
     return true;
--- a/packages/decisions/src/backend_identity.h
+++ b/packages/decisions/src/backend_identity.h
@@ -29,6 +29,9 @@
     stale, ///< Older than the last heartbeat, or from an older start; nothing changed.
 };
 
+/** A heartbeat that has been under way for longer does not arrive. */
+constexpr duration maxHeartbeatDelay = std::chrono::seconds(5);
+
 /** Thread safety: one thread at a time. */
 class backend_identity {
 public:
@@ -43,12 +46,19 @@
      * \return whether it is the current one and was not leaving yet. */
     bool recordLeaving(const backend_server_id& id, wall_time startedAt);
 
+    /** Whether the current start may have announced its shutdown before this process started: it is the first
+     * one known, and its heartbeat, which may have been under way for seconds, is not its first. */
+    bool needsConfirmation() const { return m_current && m_isUnconfirmed && !isLeaving(); }
+
+    /** Notes that the current start has said after its heartbeat that it takes requests. */
+    void confirm() { m_isUnconfirmed = false; }
+
     /** Discards the known backend server, as when an answer or a probe comes from another id. Nothing is
      * known until the next heartbeat. */
     void forget();
 
     /** Whether new requests may be sent to it. */
-    bool isAccepting() const { return m_current && !m_current->isDraining && !m_hasLeft; }
+    bool isAccepting() const { return m_current && !m_current->isDraining && !m_hasLeft && !m_isUnconfirmed; }
     bool isKnown() const { return m_current.has_value(); }
     bool isLeaving() const { return m_current && (m_current->isDraining || m_hasLeft); }
     bool isCold(instant now) const { return now < m_warmupEndsAt; }
@@ -63,6 +73,9 @@
     std::optional<backend_heartbeat> m_current;
     wall_time m_newestStart {}; ///< Kept by forget(), so that late heartbeats of older starts are ignored.
     bool m_hasLeft = false;
+    bool m_hasKnownAny = false; ///< Since the start of this process.
+    bool m_isUnconfirmed = false;
+    instant m_firstHeartbeatAt {}; ///< Of the unconfirmed start.
     wall_time m_leftAt {}; ///< Time of the last shutdown announcement; used if it named no start.
     instant m_warmupEndsAt {};
 };
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -63,6 +63,8 @@
     }
     if (m_verification)
         m_verification->cancel();
+    if (m_confirmation)
+        m_confirmation->cancel();
 }
 
 result<void> backend_gateway::checkAdmission(gateway_request& request, instant now)
@@ -387,6 +389,46 @@
     m_identity.forget();
 }
 
+/** Asks a server that this process knows by a possibly late heartbeat only whether it has announced its
+ * shutdown to an earlier process of this node. */
+void backend_gateway::confirmServer()
+{
+    if (!m_identity.needsConfirmation() || m_confirmation)
+        return;
+    auto snapshot = m_hooks.snapshot();
+    const auto* profile = snapshot && snapshot->routes ? snapshot->routes->profileOf(m_service) : nullptr;
+    if (!profile || profile->healthPath.empty())
+        return;
+    http_message question;
+    question.method = "GET";
+    question.target = profile->healthPath;
+    question.fields = { { "Host", m_service.text() } };
+    m_confirmation = makeConnection();
+    m_confirmation->call(m_backend, question, m_policy.connectTimeout, m_policy.confirmationTimeout,
+        [this](const http_call_result& answer) { handleConfirmation(answer); });
+}
+
+void backend_gateway::handleConfirmation(const http_call_result& answer)
+{
+    std::exchange(m_confirmation, nullptr)->cancel();
+    if (!answer || !m_identity.needsConfirmation())
+        return; // The next heartbeat asks again.
+    constexpr int okStatus = 200;
+    auto now = m_hooks.clock().monotonic;
+    auto info = m_codec.readBackendResponse(*answer);
+    const auto& current = m_identity.current();
+    bool isCurrent = info.serverId == current.id;
+    m_log.write(event_priority::always, "backend_confirmation", {},
+        { { "backend", current.id.text() }, { "status", answer->status }, { "is_current", isCurrent },
+            { "leaving", info.isLeaving } });
+    if (!isCurrent)
+        return;
+    if (info.isLeaving && m_identity.recordLeaving(current.id, current.startedAt))
+        handleLeaving(now);
+    else if (answer->status == okStatus)
+        m_identity.confirm();
+}
+
 void backend_gateway::reportCrash(std::string_view evidence, instant now)
 {
     auto interrupted = std::exchange(m_interruptedRequests, {});
@@ -493,6 +535,7 @@
     m_queue.setSlots(heartbeat.slots, now);
     if (m_identity.isLeaving() && !wasDraining)
         handleLeaving(now);
+    confirmServer();
     return effect;
 }
 
@@ -540,6 +583,7 @@
     auto now = m_hooks.clock().monotonic;
     auto snapshot = m_hooks.snapshot();
     applyWarmupLimit(now);
+    confirmServer();
     if (snapshot && snapshot->evacuated.contains(m_dataCentre))
         m_queue.refuseAll(
             refusal(refusal_reason::dataCentreOutOfService, "the data centre takes no new work"), now);
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -58,6 +58,8 @@
     duration connectTimeout = std::chrono::milliseconds(500);
     /** Pooled connections expire this long before the server's timeout. */
     duration idleTimeoutMargin = std::chrono::seconds(1);
+    /** For the response to the question whether the server leaves. */
+    duration confirmationTimeout = std::chrono::seconds(1);
     /** Used when the server announces no idle timeout. */
     duration defaultIdleTimeout = std::chrono::seconds(4);
     stuck_threshold_policy stuckThreshold;
@@ -158,6 +160,8 @@
     void recordSignOfLife(instant now);
     void verifyServer();
     void handleVerification(const handle<http_client_connection>& connection, std::error_code error);
+    void confirmServer();
+    void handleConfirmation(const http_call_result& answer);
     void reportCrash(std::string_view evidence, instant now);
     handle<http_client_connection> acquireConnection(instant now);
     void poolConnection(const handle<http_client_connection>& connection, instant now);
@@ -184,6 +188,7 @@
     std::list<idle_connection> m_idleConnections; ///< Most recently used first.
     /** Set while a connection is opened that shows whether the server has crashed. */
     handle<http_client_connection> m_verification;
+    handle<http_client_connection> m_confirmation; ///< Set while the server is asked whether it leaves.
     std::vector<interrupted_request> m_interruptedRequests;
     std::atomic<std::size_t> m_activeCount { 0 };
     std::atomic<double> m_retryShare { 0 };
--- a/packages/proxy/src/header_codec.h
+++ b/packages/proxy/src/header_codec.h
@@ -25,6 +25,7 @@
     bool isLeaving = false; ///< The server says that it is going to stop.
     bool hasSignature = false; ///< The response proves that the backend server made it.
     bool hasEncodedBody = false; ///< The body has a content encoding, which was not requested.
+    std::optional<backend_server_id> serverId; ///< The start of a server that names itself in the response.
     std::optional<request_id> requestId; ///< The id of the request that the response names.
     /** Requests per second that the server takes from all nodes together, if it names a limit. */
     std::optional<double> requestLimit;
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -102,14 +102,27 @@
                     crashed.push_back(each.run.fingerprint);
             },
             [](request_fingerprint) {} } };
-    std::uint64_t sequence = 0;
+    std::uint64_t sequence;
 
-    explicit gateway_fixture(std::string reply = good("r1"))
+    /** \param firstSequence number of the first heartbeat that the node gets. */
+    explicit gateway_fixture(std::string reply = good("r1"), std::uint64_t firstSequence = 1)
+        : sequence(firstSequence - 1)
     {
         backend.reply = std::move(reply);
+        handle<routing_table> routes(new routing_table);
+        routes->add(makeProfile());
+        snapshot->routes = routes;
         beat();
     }
 
+    static service_profile makeProfile()
+    {
+        service_profile profile;
+        profile.id = service_id("a");
+        profile.healthPath = "/health";
+        return profile;
+    }
+
     static std::string good(const std::string& id)
     {
         return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
@@ -645,3 +658,78 @@
         events += fixture.context.run_one_for(5ms);
     CHECK(events <= 1);
 }
+
+namespace {
+
+/** A node that was started while its server was running, and knows it by its seventh heartbeat. */
+struct restarted_gateway : gateway_fixture {
+    explicit restarted_gateway(std::string health)
+        : gateway_fixture(std::move(health), 7)
+    {
+        REQUIRE(runUntil(context, [&] { return backend.requests.size() == 1; }));
+        CHECK(backend.requests[0].starts_with("GET /health HTTP/1.1\r\n"));
+    }
+
+    static std::string health(const std::string& status, const std::string& fields)
+    {
+        return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 0\r\n\r\n";
+    }
+
+    bool isServing()
+    {
+        backend.reply = good("r1");
+        return submit().response.has_value();
+    }
+
+    /** Waits until the gateway has handled what the server said of itself. */
+    void waitForAnswer()
+    {
+        REQUIRE(runUntil(context, [&] { return backend.ended == 1; }));
+    }
+};
+
+} // namespace
+
+// Guards against requests to a server that has deregistered at an earlier process of its node (DRAIN).
+TEST_CASE("A restarted node asks its server whether it leaves before it sends it a request")
+{
+    SUBCASE("which it does not")
+    {
+        restarted_gateway fixture(restarted_gateway::health("200 OK", "Instance-Id: i-1\r\n"));
+        checkNotRun(fixture.submit(), refusal_reason::noBackendServer);
+        fixture.waitForAnswer();
+        CHECK(fixture.isServing());
+    }
+    SUBCASE("which it says")
+    {
+        restarted_gateway fixture(
+            restarted_gateway::health("200 OK", "Instance-Id: i-1\r\nServer-Leaving: 1\r\n"));
+        fixture.waitForAnswer();
+        checkNotRun(fixture.submit(), refusal_reason::backendServerDraining);
+    }
+    SUBCASE("which it says by its status")
+    {
+        restarted_gateway fixture(
+            restarted_gateway::health("503 Service Unavailable", "Instance-Id: i-1\r\n"));
+        fixture.waitForAnswer();
+        checkNotRun(fixture.submit(), refusal_reason::noBackendServer);
+    }
+    SUBCASE("which another server answers")
+    {
+        restarted_gateway fixture(restarted_gateway::health("200 OK", "Instance-Id: i-2\r\n"));
+        fixture.waitForAnswer();
+        checkNotRun(fixture.submit(), refusal_reason::noBackendServer);
+    }
+    SUBCASE("again with its next heartbeat if it gets no answer")
+    {
+        restarted_gateway fixture("reset");
+        fixture.waitForAnswer();
+        checkNotRun(fixture.submit(), refusal_reason::noBackendServer);
+        fixture.backend.reply = restarted_gateway::health("200 OK", "Instance-Id: i-1\r\n");
+        REQUIRE(runUntil(fixture.context, [&] {
+            fixture.beat();
+            return fixture.backend.requests.size() == 2 && fixture.backend.ended == 2;
+        }));
+        CHECK(fixture.isServing());
+    }
+}
--- a/test/proxy/backend_identity.cpp
+++ b/test/proxy/backend_identity.cpp
@@ -108,3 +108,45 @@
     identity.applyHeartbeat(heartbeatOf("c", 9000ms, 1), start);
     CHECK(identity.isAccepting());
 }
+
+// Guards against a restarted node that takes a late heartbeat of a server whose farewell it has forgotten.
+TEST_CASE("A start that a node first knows by a later heartbeat takes no work before it is confirmed")
+{
+    backend_identity identity;
+    CHECK(identity.applyHeartbeat(heartbeatOf("a", 5000ms, 7), start) == heartbeat_effect::newStart);
+    REQUIRE(identity.needsConfirmation());
+    CHECK_FALSE(identity.isAccepting());
+    CHECK_FALSE(identity.isLeaving());
+    SUBCASE("by the server")
+    {
+        identity.confirm();
+        CHECK(identity.isAccepting());
+    }
+    SUBCASE("by a heartbeat that must have been sent since")
+    {
+        identity.applyHeartbeat(heartbeatOf("a", 5000ms, 8), start + maxHeartbeatDelay);
+        CHECK_FALSE(identity.isAccepting());
+        identity.applyHeartbeat(heartbeatOf("a", 5000ms, 9), start + maxHeartbeatDelay + 1ms);
+        CHECK(identity.isAccepting());
+    }
+    SUBCASE("and needs no confirmation if it says that it leaves")
+    {
+        identity.recordLeaving(backend_server_id("a"), wall_time(5000ms));
+        CHECK_FALSE(identity.needsConfirmation());
+        CHECK(identity.isLeaving());
+    }
+    SUBCASE("and its successor takes work at once")
+    {
+        identity.applyHeartbeat(heartbeatOf("b", 9000ms, 1), start + 1s);
+        CHECK(identity.isAccepting());
+    }
+}
+
+TEST_CASE("A start that follows another one takes work at once")
+{
+    backend_identity identity;
+    identity.applyHeartbeat(heartbeatOf("a", 5000ms, 1), start);
+    CHECK(identity.isAccepting());
+    identity.applyHeartbeat(heartbeatOf("b", 9000ms, 4), start + 1s);
+    CHECK(identity.isAccepting());
+}
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -203,6 +203,12 @@
         return;
     }
     auto text = [&](const char* name) { return std::string(request.field(name).value_or("")); };
+    if (request.path() == "/health") {
+        auto answer = makeResponse(m_isDraining ? 503 : 200, "");
+        answer.fields.push_back({ "Instance-Id", m_id });
+        responder->respond(std::move(answer));
+        return;
+    }
     if (text("Expect-Instance") != m_id) {
         auto answer = makeResponse(421, "");
         answer.fields.push_back({ "Instance-Id", m_id });
