Let a node announce another address than the one it listens at

Other nodes were always sent to the address of listen.peers, so that nothing could stand between two nodes: no port mapping, and no relay that plays a faulty network. listen.peers_announced names where others reach it.

--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -184,7 +184,7 @@
         return error;
     instance_announcement self { m_settings.node,
         static_cast<incarnation_number>(m_clock().wall.time_since_epoch().count()), 0,
-        m_settings.peersEndpoint, m_settings.dataCentre, m_settings.service, false };
+        m_settings.announcedPeersEndpoint, m_settings.dataCentre, m_settings.service, false };
     m_controlLoop = std::make_unique<control_loop>(m_control, self, m_settings.seeds, m_controller,
         m_quarantine, m_dependencies.makeStore(m_control, m_settings, m_log), control_policy {}, m_log,
         m_metrics, controlHooks());
--- a/packages/proxy/src/proxy_settings.cpp
+++ b/packages/proxy/src/proxy_settings.cpp
@@ -27,6 +27,9 @@
     {
         settings.callersEndpoint = readEndpoint(object, "callers");
         settings.peersEndpoint = readEndpoint(object, "peers");
+        settings.announcedPeersEndpoint = readEndpoint(object, "peers_announced", false);
+        if (settings.announcedPeersEndpoint.empty())
+            settings.announcedPeersEndpoint = settings.peersEndpoint;
         settings.backendNotificationsEndpoint = readEndpoint(object, "backend_calls");
         settings.readinessEndpoint = readEndpoint(object, "readiness");
         settings.metricsEndpoint = readEndpoint(object, "metrics", false);
--- a/packages/proxy/src/proxy_settings.h
+++ b/packages/proxy/src/proxy_settings.h
@@ -14,6 +14,7 @@
     service_id service; ///< Of the backend server on this instance.
     std::string callersEndpoint;
     std::string peersEndpoint;
+    std::string announcedPeersEndpoint; ///< Where other nodes reach the peers endpoint.
     std::string backendNotificationsEndpoint; ///< Where the backend server sends heartbeats and deregisters.
     std::string readinessEndpoint;
     std::string metricsEndpoint; ///< Empty if metrics are not served.
--- /dev/null
+++ b/test/proxy/proxy_settings.cpp
@@ -0,0 +1,38 @@
+/** \file
+ * The settings of a node.
+ */
+#include "proxy_settings.h"
+
+#include <doctest/doctest.h>
+
+using namespace pomelohub;
+
+namespace {
+
+struct read_result {
+    explicit read_result(const std::string& listenFields)
+        : settings(readProxySettings(R"({ "node": "n", "data_centre": "z", "service": "s", "listen": {
+            "callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "backend_calls": "127.0.0.1:3",
+            "readiness": "127.0.0.1:4")"
+                + listenFields + R"( }, "backend_server": "127.0.0.1:5", "store": "127.0.0.1:6" })",
+            errors))
+    {
+    }
+
+    std::vector<field_error> errors;
+    proxy_settings settings;
+};
+
+} // namespace
+
+TEST_CASE("A node announces the address that it listens at for others, unless its settings name another one")
+{
+    read_result usual("");
+    REQUIRE(usual.errors.empty());
+    CHECK(usual.settings.announcedPeersEndpoint == "127.0.0.1:2");
+    read_result mapped(R"(, "peers_announced": "127.0.0.9:7")");
+    REQUIRE(mapped.errors.empty());
+    CHECK(mapped.settings.peersEndpoint == "127.0.0.1:2");
+    CHECK(mapped.settings.announcedPeersEndpoint == "127.0.0.9:7");
+    CHECK(read_result(R"(, "peers_announced": "nowhere")").errors.size() == 1);
+}
