--- a/test/proxy/loopback.h
+++ b/test/proxy/loopback.h
@@ -6,12 +6,11 @@
 
 #include "event_log.h"
 #include "http_server.h"
+#include "loopback_address.h"
 #include "system_clock.h"
 
 #include <doctest/doctest.h>
 
-#include <unistd.h>
-
 namespace pomelohub {
 
 using tcp = asio::ip::tcp;
@@ -30,22 +29,6 @@
     return true;
 }
 
-/** An address that nothing else uses: each has a loopback address of its own, so that no outgoing connection
- * takes its port. */
-inline tcp::endpoint freeEndpoint()
-{
-    constexpr std::uint16_t port = 7000;
-    static std::atomic<std::uint32_t> count { 0 };
-    auto number = static_cast<std::uint32_t>(getpid()) * 509 + count++;
-    auto host = (127U << 24) | (1U << 22) | (number % (1U << 22));
-    return { asio::ip::address_v4(host), port };
-}
-
-inline std::string textOf(const tcp::endpoint& endpoint)
-{
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 /** A log that keeps few lines. */
 inline event_log& quietLog()
 {
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -1,6 +1,5 @@
 #include "platform_standins.h"
 
-#include <openssl/evp.h>
 #include <spawn.h>
 #include <sys/wait.h>
 
@@ -33,31 +32,6 @@
         return limits;
     }
 
-    std::string queryValue(const std::string& target, const std::string& name)
-    {
-        auto at = target.find(name + "=");
-        if (at == std::string::npos)
-            return "";
-        at += name.size() + 1;
-        return target.substr(at, target.find('&', at) - at);
-    }
-
-    std::string bigEndian(std::uint64_t value, int bytes)
-    {
-        std::string text;
-        for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
-            text.push_back(static_cast<char>(value >> shift));
-        return text;
-    }
-
-    std::string base64(const std::string& bytes)
-    {
-        std::string text((bytes.size() + 2) / 3 * 4, '\0');
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-            reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-        return text;
-    }
-
 } // namespace
 
 http_message makeCallerRequest(const std::string& method, const std::string& target, const std::string& id,
@@ -72,93 +46,6 @@
     return request;
 }
 
-standin_store::standin_store(asio::io_context& context)
-    : m_context(context)
-    , m_server(context,
-          { [this](http_message&& request, handle<http_responder> responder) { serve(request, responder); },
-              serverLimits, readSystemClock, nullptr })
-    , m_address(freeEndpoint())
-{
-    REQUIRE_FALSE(m_server.listen(m_address));
-}
-
-std::string standin_store::endpoint() const { return textOf(m_address); }
-
-void standin_store::put(const std::string& topic, const std::string& key, const std::string& value)
-{
-    asio::post(m_context, [=, this] { append(topic, key, value); });
-}
-
-void standin_store::append(const std::string& topic, const std::string& key, const std::string& value)
-{
-    m_topics[topic].push_back({ key, value });
-    wakeReaders();
-}
-
-void standin_store::wakeReaders()
-{
-    std::erase_if(m_waiting, [this](const waiting_read& read) { return answerRead(read); });
-}
-
-bool standin_store::answerRead(const waiting_read& read)
-{
-    const auto& records = m_topics[read.topic];
-    if (read.responder->isCancelled())
-        return true;
-    if (records.size() <= read.from)
-        return false;
-    auto body = bigEndian(records.size(), 8) + bigEndian(0, 8);
-    for (auto i = read.from; i < records.size(); ++i) {
-        auto content = bigEndian(records[i].key.size(), 1) + records[i].key + records[i].value;
-        body += bigEndian(content.size(), 4) + content;
-    }
-    read.responder->respond(makeResponse(200, body, "application/octet-stream"));
-    return true;
-}
-
-http_message standin_store::newest(const std::string& topic)
-{
-    const auto& records = m_topics[topic];
-    std::map<std::string, nlohmann::json> items;
-    for (std::size_t i = 0; i < records.size(); ++i) {
-        const auto& [key, value] = records[i];
-        if (value.empty())
-            items.erase(key);
-        else
-            items[key] = { { "key", key }, { "value", base64(value) }, { "offset", i } };
-    }
-    nlohmann::json body { { "items", nlohmann::json::array() }, { "has_more", false },
-        { "end", records.size() } };
-    for (auto& [key, item] : items)
-        body["items"].push_back(item);
-    return makeResponse(200, body.dump());
-}
-
-void standin_store::serve(const http_message& request, const handle<http_responder>& responder)
-{
-    ++m_calls;
-    if (m_isAway) {
-        responder->respond(makeResponse(503, "{}"));
-        return;
-    }
-    auto topic = queryValue(request.target, "topic");
-    if (request.path() == "/-/log-newest") {
-        responder->respond(newest(topic));
-    } else if (request.path() == "/-/log-read") {
-        m_waiting.push_back({ topic, std::stoull(queryValue(request.target, "from")), responder });
-        wakeReaders();
-    } else if (request.path() == "/-/log-append") {
-        std::string body(request.body);
-        auto keyLength = static_cast<unsigned char>(body.at(4));
-        auto offset = m_topics[topic].size();
-        append(topic, body.substr(5, keyLength), body.substr(5U + keyLength));
-        responder->respond(
-            makeResponse(200, nlohmann::json { { "offset", offset }, { "end", offset + 1 } }.dump()));
-    } else {
-        responder->respond(makeResponse(404, "{}"));
-    }
-}
-
 void run_record::add(standin_run run)
 {
     std::lock_guard guard(m_lock);
@@ -289,8 +176,13 @@
 
 proxy_fleet::proxy_fleet(const std::vector<std::string>& services, const nlohmann::json& extra)
     : m_guard(asio::make_work_guard(m_context))
-    , m_store(std::make_unique<standin_store>(m_context))
+    , m_store(std::make_unique<emulated_store>(m_context, readSystemClock))
+    , m_storeAddress(freeEndpoint())
 {
+    m_store->setBehaviour([this](const http_message&) {
+        return m_isStoreAway ? store_behaviour::unavailable : store_behaviour::normal;
+    });
+    REQUIRE_FALSE(m_store->listen(m_storeAddress));
     m_directory
         = (std::filesystem::temp_directory_path() / ("pomelohub-" + std::to_string(getpid()))).string();
     std::filesystem::create_directories(m_directory);
@@ -309,7 +201,7 @@
                 { { "callers", textOf(node.callers) }, { "peers", textOf(freeEndpoint()) },
                     { "backend_calls", textOf(node.control) }, { "readiness", textOf(node.readiness) },
                     { "metrics", textOf(node.metrics) } } },
-            { "backend_server", m_backends[i]->endpoint() }, { "store", m_store->endpoint() },
+            { "backend_server", m_backends[i]->endpoint() }, { "store", textOf(m_storeAddress) },
             { "first_start", true }, { "threads", 1 + i % 2 }, { "grace_s", 6 } };
         settings.update(extra);
         std::ofstream(node.settings) << "// Written by a test.\n" << settings.dump(4);
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -4,8 +4,8 @@
  */
 #pragma once
 
+#include "emulated_store.h"
 #include "http_client.h"
-#include "http_server.h"
 #include "loopback.h"
 
 #include <doctest/doctest.h>
@@ -17,46 +17,6 @@
 
 namespace pomelohub {
 
-/** The keyed topics of the platform's store: records, newest values, long polls, and an outage. */
-class standin_store {
-public:
-    explicit standin_store(asio::io_context& context);
-
-    std::string endpoint() const;
-
-    /** Appends a record as an operator does. Thread safety: any thread. */
-    void put(const std::string& topic, const std::string& key, const std::string& value);
-
-    /** While it is away every call gets 503. Thread safety: any thread. */
-    void setAway(bool isAway) { m_isAway = isAway; }
-    std::size_t callCount() const { return m_calls; }
-
-private:
-    struct record {
-        std::string key;
-        std::string value;
-    };
-    struct waiting_read {
-        std::string topic;
-        std::uint64_t from = 0;
-        handle<http_responder> responder;
-    };
-
-    void serve(const http_message& request, const handle<http_responder>& responder);
-    void append(const std::string& topic, const std::string& key, const std::string& value);
-    void wakeReaders();
-    bool answerRead(const waiting_read& read);
-    http_message newest(const std::string& topic);
-
-    asio::io_context& m_context;
-    http_server m_server;
-    tcp::endpoint m_address;
-    std::map<std::string, std::vector<record>> m_topics;
-    std::vector<waiting_read> m_waiting;
-    std::atomic<bool> m_isAway { false };
-    std::atomic<std::size_t> m_calls { 0 };
-};
-
 /** One run of a request at a backend server. */
 struct standin_run {
     std::string id;
@@ -171,7 +131,10 @@
     /** Waits for the end of a node's process. \return its exit status. */
     int waitForEnd(std::size_t node);
 
-    standin_store& store() { return *m_store; }
+    emulated_store& store() { return *m_store; }
+
+    /** While the store is away every call gets 503. Thread safety: any thread. */
+    void setStoreAway(bool isAway) { m_isStoreAway = isAway; }
     standin_backend& backend(std::size_t node) { return *m_backends.at(node); }
     run_record& runs() { return m_runs; }
     std::size_t size() const { return m_nodes.size(); }
@@ -193,7 +156,9 @@
     asio::io_context m_context;
     asio::executor_work_guard<asio::io_context::executor_type> m_guard;
     run_record m_runs;
-    std::unique_ptr<standin_store> m_store;
+    std::unique_ptr<emulated_store> m_store;
+    tcp::endpoint m_storeAddress;
+    std::atomic<bool> m_isStoreAway { false };
     std::vector<std::unique_ptr<standin_backend>> m_backends;
     std::vector<node_process> m_nodes;
     std::thread m_thread;
--- a/test/proxy_process/quiet_day.cpp
+++ b/test/proxy_process/quiet_day.cpp
@@ -40,7 +40,7 @@
     auto changed = std::chrono::steady_clock::now();
     CHECK(fleet.waitFor([&] { return fleet.allAnswer("/browse/x", "k2", 401); }));
     CHECK(std::chrono::steady_clock::now() - changed < 2s); // The users' bound.
-    fleet.store().setAway(true);
+    fleet.setStoreAway(true);
     for (std::size_t node = 0; node < fleet.size(); ++node) {
         auto answer = fleet.send(node, "GET", "/browse/x", fleet.nextId(), "k1");
         REQUIRE(answer);
@@ -48,7 +48,7 @@
     }
     CHECK(fleet.allAnswer("/bids/x", "k2", 401));
     // A configuration that cannot be read changes nothing.
-    fleet.store().setAway(false);
+    fleet.setStoreAway(false);
     fleet.store().put("keyed.op", "config", next.dump().substr(0, 100));
     fleet.configure(configuration(1));
     CHECK(fleet.allAnswer("/bids/x", "k2", 401));
@@ -65,7 +65,7 @@
             CHECK(fleet.statusOf(node, "/bids/x", "k1") == 200);
     }
     SUBCASE("with the store") { }
-    SUBCASE("without the store: the others tell it what is in force") { fleet.store().setAway(true); }
+    SUBCASE("without the store: the others tell it what is in force") { fleet.setStoreAway(true); }
     fleet.start(1);
     CHECK(fleet.waitFor([&] { return fleet.isReady(1) && fleet.serves(1, "/browse/x", "k1"); }));
 }
