--- a/packages/emulator/src/faulty_link.h
+++ b/packages/emulator/src/faulty_link.h
@@ -27,6 +27,9 @@
     /** Resets all connections at both ends. */
     void resetAll();
 
+    /** Number of bytes that were passed on in both directions. */
+    std::uint64_t relayedBytes() const { return m_relayedBytes; }
+
 private:
     friend class relayed_connection;
 
@@ -37,6 +40,7 @@
     clock_hook m_clock;
     connection_acceptor m_acceptor;
     link_condition m_condition;
+    std::uint64_t m_relayedBytes = 0;
     boost::intrusive::list<relayed_connection, boost::intrusive::constant_time_size<false>> m_connections;
 };
 
--- a/packages/emulator/src/relayed_connection.cpp
+++ b/packages/emulator/src/relayed_connection.cpp
@@ -114,6 +114,7 @@
                 self->reset();
                 return;
             }
+            self->m_link->m_relayedBytes += way.chunks.front().bytes.size();
             way.chunks.pop_front();
             self->write(way);
             self->read(way);
--- a/test/soak/faulty_link.cpp
+++ b/test/soak/faulty_link.cpp
@@ -70,6 +70,7 @@
     fixture.caller->write(text);
     REQUIRE(fixture.run([&] { return fixture.caller->received.size() == text.size(); }));
     CHECK(fixture.caller->received == text);
+    CHECK(fixture.link.relayedBytes() == 2 * text.size());
 }
 
 TEST_CASE("A link with a delay passes nothing on before it")
