Raise the limit of a server that says it is cold more slowly

Cause: the limit rose after 4, 8 and 12 good responses, so to 4 after 24, while the server stays cold for 30. Slow responses set the count back, but slow is what takes four times the mean, and on a busy machine all responses do.

While the server itself says that it is cold, a step now takes the square of the limit times four responses: 4, 16 and 36. That depends on no latency. When it says that it is warm, or for one that turns cold without saying so, the steps are as before.

Evidence: the new case of test/correctness failed before (limit 4 of 3).

--- a/packages/decisions/src/concurrency_limiter.cpp
+++ b/packages/decisions/src/concurrency_limiter.cpp
@@ -65,7 +65,8 @@
         = m_meanLatency == duration::zero() ? latency : m_meanLatency + (latency - m_meanLatency) / 32;
     if (m_limit >= m_slots)
         return;
-    if (++m_successes < m_limit * m_policy.successesPerIncrease)
+    auto allowed = m_condition == backend_condition::cold ? m_limit * m_limit : m_limit;
+    if (++m_successes < allowed * m_policy.successesPerIncrease)
         return;
     m_successes = 0;
     ++m_limit;
--- a/packages/decisions/src/concurrency_limiter.h
+++ b/packages/decisions/src/concurrency_limiter.h
@@ -16,8 +16,9 @@
 };
 
 struct concurrency_limit_policy {
-    /** The limit rises by one after this many successful responses in a row for each request that it allows.
-     */
+    /** The limit rises by one after this many successful responses in a row for each request that it allows;
+     * while the server reports that it is cold, for the square of that number, as the latency of a cold
+     * server cannot be told from that of a busy machine. */
     std::uint32_t successesPerIncrease = 4;
     /** A response that takes longer than the mean latency times this factor counts as a failure. */
     double slowFactor = 4;
--- a/test/correctness/backend_protection.cpp
+++ b/test/correctness/backend_protection.cpp
@@ -32,6 +32,23 @@
     CHECK(gate.limit() == 5U);
 }
 
+// Guards against a limit that rises as fast as that of a warm server, on a machine where all responses are
+// slow.
+TEST_CASE("a backend server that says that it is cold gets at most three at once for 30 good answers")
+{
+    constexpr int coldAnswers = 30;
+    concurrency_limiter gate(5, {});
+    gate.setCondition(backend_condition::warm);
+    answer(gate, 200, milliseconds(25));
+    gate.setCondition(backend_condition::cold);
+    REQUIRE(gate.limit() == 1U);
+    answer(gate, coldAnswers, milliseconds(90));
+    CHECK(gate.limit() <= 3U);
+    gate.setCondition(backend_condition::warm);
+    answer(gate, 60, milliseconds(25));
+    CHECK(gate.limit() == 5U);
+}
+
 TEST_CASE("a warm backend server that turns cold without warning is sent back to one at a time")
 {
     concurrency_limiter gate(5, {});
