--- a/packages/soak/src/fault_schedule.h
+++ b/packages/soak/src/fault_schedule.h
@@ -10,19 +10,23 @@
 namespace pomelohub {
 
 enum class fault_kind {
-    suspendNode, ///< The node's process stands still.
+    // Of the process of a node.
+    suspendNode, ///< It stands still.
     killNode,
     stopNode, ///< SIGTERM; it is started again after its end.
-    delayLink, ///< Faults of links concern what other nodes send to the node, and its replies.
+    // Of the way from other nodes to a node.
+    delayLink,
     resetLink,
     cutLink,
-    cutLinkOneWay,
-    crashServer, ///< The backend server beside the node loses all connections and starts again.
+    cutLinkOneWay, ///< Replies are held back.
+    // Of the backend server beside a node.
+    crashServer, ///< It loses all connections and starts again.
     resetServer, ///< Its connections are reset, in the middle of what passes.
     stallServer, ///< It takes requests and does not respond.
     failServer, ///< It responds with an error to half of its requests.
     leaveServer, ///< It says that it leaves, and is replaced.
     delayHeartbeat, ///< A heartbeat arrives again, late.
+    // Of all nodes at once.
     storeUnavailable,
     storeSilent,
     storeLosesReplies,
