--- a/packages/soak/src/fault_soak.cpp
+++ b/packages/soak/src/fault_soak.cpp
@@ -503,7 +503,7 @@
 }
 
 /** Precondition: the longest fault has ended by itself. */
-void fault_soak::takeFaultsBack()
+void fault_soak::endFaults()
 {
     m_storeBehaviour = store_behaviour::normal;
     auto isCalm = [this] {
@@ -591,7 +591,7 @@
         }
     }
     runUntil([] { return false; }, m_settings.schedule.length + m_settings.schedule.maxFault);
-    takeFaultsBack();
+    endFaults();
     checkRecovery();
     report.breaches = m_checker.finish(m_disturbances);
     report.sent = m_checker.sentCount();
--- a/packages/soak/src/fault_soak.h
+++ b/packages/soak/src/fault_soak.h
@@ -66,7 +66,7 @@
     void applyLinkConditions(instance& instance);
     promise_checker::request makeRequest(std::size_t node, std::string_view service, instant now);
     std::string expectedBody(const std::string& id) const;
-    void takeFaultsBack();
+    void endFaults();
     void checkRecovery();
     std::vector<std::string> stateProblems(const instance& instance);
     bool areAllServed();
