--- a/packages/soak/src/fault_soak.h
+++ b/packages/soak/src/fault_soak.h
@@ -35,8 +35,8 @@
     std::size_t missing = 0;
 };
 
-/** Plays one seed: starts the fleet, lets callers send while faults come and go, takes all faults back, and
- * checks that the fleet serves again. Thread safety: one thread. */
+/** Plays one seed: starts the fleet, lets callers send while faults come and go, ends all faults, and checks
+ * that the fleet serves again. Thread safety: one thread. */
 class fault_soak {
 public:
     fault_soak(soak_settings settings, clock_hook clock);
