Hold the unconfirmed state of a backend server in one value, and look up its profile in one place

A flag and a time said the same twice; the time alone says it. The gateway looked up the service's profile by the same expression for the warm-up and for the confirmation.

--- a/packages/decisions/src/backend_identity.cpp
+++ b/packages/decisions/src/backend_identity.cpp
@@ -30,10 +30,11 @@
         return heartbeat_effect::stale;
     if (!isSame) {
         m_hasLeft = false;
-        m_isUnconfirmed = !m_hasKnownAny && heartbeat.sequence > firstSequence;
-        m_firstHeartbeatAt = now;
-    } else if (now - m_firstHeartbeatAt > maxHeartbeatDelay) {
-        m_isUnconfirmed = false; // It was sent after this process had started.
+        confirm();
+        if (!m_hasKnownAny && heartbeat.sequence > firstSequence)
+            m_unconfirmedSince = now;
+    } else if (m_unconfirmedSince && now - *m_unconfirmedSince > maxHeartbeatDelay) {
+        confirm(); // The heartbeat was sent after this process had started.
     }
     m_hasKnownAny = true;
     auto next = heartbeat;
--- a/packages/decisions/src/backend_identity.h
+++ b/packages/decisions/src/backend_identity.h
@@ -48,17 +48,17 @@
 
     /** Whether the current start may have announced its shutdown before this process started: it is the first
      * one known, and its heartbeat, which may have been under way for seconds, is not its first. */
-    bool needsConfirmation() const { return m_current && m_isUnconfirmed && !isLeaving(); }
+    bool needsConfirmation() const { return m_current && m_unconfirmedSince && !isLeaving(); }
 
     /** Notes that the current start has said after its heartbeat that it takes requests. */
-    void confirm() { m_isUnconfirmed = false; }
+    void confirm() { m_unconfirmedSince.reset(); }
 
     /** Discards the known backend server, as when an answer or a probe comes from another id. Nothing is
      * known until the next heartbeat. */
     void forget();
 
     /** Whether new requests may be sent to it. */
-    bool isAccepting() const { return m_current && !m_current->isDraining && !m_hasLeft && !m_isUnconfirmed; }
+    bool isAccepting() const { return m_current && !isLeaving() && !m_unconfirmedSince; }
     bool isKnown() const { return m_current.has_value(); }
     bool isLeaving() const { return m_current && (m_current->isDraining || m_hasLeft); }
     bool isCold(instant now) const { return now < m_warmupEndsAt; }
@@ -74,8 +74,7 @@
     wall_time m_newestStart {}; ///< Kept by forget(), so that late heartbeats of older starts are ignored.
     bool m_hasLeft = false;
     bool m_hasKnownAny = false; ///< Since the start of this process.
-    bool m_isUnconfirmed = false;
-    instant m_firstHeartbeatAt {}; ///< Of the unconfirmed start.
+    std::optional<instant> m_unconfirmedSince; ///< Time of the first heartbeat of an unconfirmed start.
     wall_time m_leftAt {}; ///< Time of the last shutdown announcement; used if it named no start.
     instant m_warmupEndsAt {};
 };
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -396,7 +396,7 @@
     if (!m_identity.needsConfirmation() || m_confirmation)
         return;
     auto snapshot = m_hooks.snapshot();
-    const auto* profile = snapshot && snapshot->routes ? snapshot->routes->profileOf(m_service) : nullptr;
+    const auto* profile = profileIn(snapshot);
     if (!profile || profile->healthPath.empty())
         return;
     http_message question;
@@ -557,10 +557,16 @@
     return true;
 }
 
+/** \return the profile of the server's service, which lives as long as \p snapshot; null if there is none. */
+const service_profile* backend_gateway::profileIn(const handle<const fleet_snapshot>& snapshot) const
+{
+    return snapshot && snapshot->routes ? snapshot->routes->profileOf(m_service) : nullptr;
+}
+
 void backend_gateway::applyWarmupLimit(instant now)
 {
     auto snapshot = m_hooks.snapshot();
-    const auto* profile = snapshot && snapshot->routes ? snapshot->routes->profileOf(m_service) : nullptr;
+    const auto* profile = profileIn(snapshot);
     bool isCold = m_identity.isCold(now);
     m_queue.setWarmupLimit(isCold && profile ? profile->warmupPerSecond * m_policy.warmupRateFraction : 0,
         m_identity.warmupEndsAt());
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -165,6 +165,7 @@
     void reportCrash(std::string_view evidence, instant now);
     handle<http_client_connection> acquireConnection(instant now);
     void poolConnection(const handle<http_client_connection>& connection, instant now);
+    const service_profile* profileIn(const handle<const fleet_snapshot>& snapshot) const;
     void applyWarmupLimit(instant now);
     void updateRetryShare();
     void scheduleNextStart();
