Let the process tests use the emulator's server, processes and documents

The stand-in of a backend server, the start of node processes, the requests of callers, the configuration and the settings of nodes were each written twice, for the process tests and for the soak. The tests now use the emulator's; the checks of the tests are as they were.

--- a/packages/soak/src/fault_soak.cpp
+++ b/packages/soak/src/fault_soak.cpp
@@ -9,6 +9,8 @@
 #include <fstream>
 #include <sstream>
 
+#include <sys/wait.h>
+
 namespace pomelohub {
 
 namespace {
@@ -474,12 +476,13 @@
 void fault_soak::checkProcess(instance& instance, instant now)
 {
     auto name = "node " + std::to_string(instance.number);
-    if (auto end = instance.process->poll()) {
-        bool hasStopped = instance.stoppedAt && end->signal == 0 && end->exitCode == 0;
+    if (auto status = instance.process->poll()) {
+        bool hasStopped = instance.stoppedAt && *status == 0;
         if (!hasStopped && !instance.isKillExpected)
             m_checker.recordBreach("no node ends by itself",
-                name + ": exit status " + std::to_string(end->exitCode) + ", signal "
-                    + std::to_string(end->signal),
+                name
+                    + (WIFSIGNALED(*status) ? ": signal " + std::to_string(WTERMSIG(*status))
+                                            : ": exit status " + std::to_string(WEXITSTATUS(*status))),
                 now);
         if (hasStopped)
             m_disturbances.push_back({ instance.number, true, now - lastMoments, now + lastMoments });
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -4,12 +4,14 @@
  */
 #pragma once
 
+#include "emulated_documents.h"
+#include "emulated_server.h"
 #include "emulated_store.h"
 #include "http_client.h"
 #include "loopback.h"
+#include "node_process.h"
 
 #include <doctest/doctest.h>
-#include <nlohmann/json.hpp>
 
 #include <map>
 #include <mutex>
@@ -44,48 +46,8 @@
 constexpr std::size_t largeResponseBytes = 4 << 20; ///< To a request whose path ends in "/large".
 constexpr std::size_t hugeResponseBytes = 16 << 20; ///< To a request whose path ends in "/huge".
 
-/** A request as callers send it to a node. */
-http_message makeCallerRequest(const std::string& method, const std::string& target, const std::string& id,
-    const std::string& key, std::chrono::milliseconds timeout, message_body body = {});
-
-/** A backend server with its heartbeats. Paths that end in "/fail" get its failure. A request whose path ends
- * in
- * "/crash" crashes it; it starts again under another id. */
-class standin_backend {
-public:
-    standin_backend(asio::io_context& context, std::string service, std::string id, run_record& runs);
-
-    std::string endpoint() const;
-
-    /** Starts to announce itself to the node at \p control. */
-    void announceTo(const tcp::endpoint& control);
-
-    /** Says that it leaves. Thread safety: any thread. \return once the node has acknowledged it. */
-    void drain();
-
-private:
-    void serve(const http_message& request, const handle<http_responder>& responder);
-    void beat();
-    void crash();
-
-    asio::io_context& m_context;
-    http_server m_server;
-    tcp::endpoint m_address;
-    std::string m_service;
-    std::string m_id;
-    int m_starts = 1;
-    bool m_isDown = false;
-    run_record& m_runs;
-    asio::steady_timer m_timer;
-    tcp::endpoint m_control;
-    handle<http_client_connection> m_connection;
-    std::uint64_t m_sequence = 0;
-    std::atomic<bool> m_isDraining { false };
-    std::atomic<bool> m_isDrainAcknowledged { false };
-    bool m_isBeating = false;
-};
-
-/** Node processes, each with a backend server beside it, and the store. */
+/** Node processes, each with a backend server beside it, and the store. Requests whose paths end in "/fail"
+ * fail. One whose path ends in "/crash" crashes its server, which starts again under another id. */
 class proxy_fleet {
 public:
     /** \param services of the nodes, in order. \param extra settings of every node, beside the usual ones. */
@@ -118,12 +80,12 @@
     /** Most memory that a node's process has had resident, in bytes; 0 if it has ended. */
     std::size_t peakMemory(std::size_t node) const;
 
-    const tcp::endpoint& callersEndpoint(std::size_t node) const { return m_nodes[node].callers; }
+    const tcp::endpoint& callersEndpoint(std::size_t node) const { return m_instances[node]->node.callers; }
 
     void signal(std::size_t node, int number);
 
-    /** Starts a node's process. \param output its standard output; a log file if negative. */
-    void start(std::size_t node, int output = -1);
+    /** Starts a node's process. \param output takes its standard output in place of a log file. */
+    void start(std::size_t node, std::optional<int> output = std::nullopt);
 
     /** \return the exit status of a node's process, or nothing while it runs. */
     std::optional<int> exitStatus(std::size_t node);
@@ -135,32 +97,35 @@
 
     /** While the store is away every call gets 503. Thread safety: any thread. */
     void setStoreAway(bool isAway) { m_isStoreAway = isAway; }
-    standin_backend& backend(std::size_t node) { return *m_backends.at(node); }
+
+    /** Lets the backend server beside a node say that it leaves. \return once the node has acknowledged it.
+     */
+    void drainServer(std::size_t node);
     run_record& runs() { return m_runs; }
-    std::size_t size() const { return m_nodes.size(); }
+    std::size_t size() const { return m_instances.size(); }
 
 private:
     std::optional<http_message> get(const tcp::endpoint& server, const std::string& target);
     std::vector<double> metricValues(std::size_t node, const std::string& name);
     int metricValue(std::size_t node, const std::string& name);
 
-    struct node_process {
-        std::string settings;
-        tcp::endpoint callers;
-        tcp::endpoint readiness;
-        tcp::endpoint control;
-        tcp::endpoint metrics;
-        int process = -1;
+    struct instance {
+        emulated_node node;
+        std::unique_ptr<emulated_server> server;
+        std::unique_ptr<node_process> process;
+        std::atomic<bool> isLeavingAcknowledged { false };
     };
 
+    void addInstance(std::size_t number, const std::string& service, const nlohmann::json& extra);
+    void runRequest(instance& instance, const http_message& request, const handle<http_responder>& responder);
+
     asio::io_context m_context;
     asio::executor_work_guard<asio::io_context::executor_type> m_guard;
     run_record m_runs;
     std::unique_ptr<emulated_store> m_store;
     tcp::endpoint m_storeAddress;
     std::atomic<bool> m_isStoreAway { false };
-    std::vector<std::unique_ptr<standin_backend>> m_backends;
-    std::vector<node_process> m_nodes;
+    std::vector<std::unique_ptr<instance>> m_instances;
     std::thread m_thread;
     std::string m_directory;
 };
--- a/test/proxy_process/quiet_day.cpp
+++ b/test/proxy_process/quiet_day.cpp
@@ -49,7 +49,7 @@
     CHECK(fleet.allAnswer("/bids/x", "k2", 401));
     // A configuration that cannot be read changes nothing.
     fleet.setStoreAway(false);
-    fleet.store().put("keyed.op", "config", next.dump().substr(0, 100));
+    fleet.store().configure(next.dump().substr(0, 100));
     fleet.configure(configuration(1));
     CHECK(fleet.allAnswer("/bids/x", "k2", 401));
     CHECK(fleet.allAnswer("/bids/x", "k1", 200));
@@ -73,7 +73,7 @@
 TEST_CASE("A server that leaves gets nothing after its node has acknowledged that")
 {
     serving_fleet fleet;
-    fleet.backend(1).drain();
+    fleet.drainServer(1);
     auto acknowledged = std::chrono::steady_clock::now();
     for (int round = 0; round < 5; ++round)
         CHECK(fleet.allAnswer("/bids/x", "k1", 200));
--- a/test/proxy_process/serving_fleet.h
+++ b/test/proxy_process/serving_fleet.h
@@ -9,17 +9,8 @@
 
 inline nlohmann::json configuration(int version)
 {
-    nlohmann::json services = nlohmann::json::array();
-    for (const char* name : { "browse", "bids", "photos" })
-        services.push_back({ { "name", name }, { "health_check_path", "/health" } });
-    nlohmann::json routes = nlohmann::json::array();
-    routes.push_back({ { "name", "r1" }, { "path_prefix", "/browse/" }, { "route_type", "safe" },
-        { "timeout_s", 3 }, { "target_latency_s", 1 }, { "service", "browse" }, { "max_attempts", 2 } });
-    routes.push_back({ { "name", "r2" }, { "path_prefix", "/bids/" }, { "route_type", "unsafe" },
-        { "timeout_s", 3 }, { "target_latency_s", 1 }, { "service", "bids" }, { "max_attempts", 2 } });
-    return { { "version", "r" + std::to_string(version) }, { "services", services },
-        { "virtual_hosts", nlohmann::json::array({ { { "host", "shop.example" }, { "paths", routes } } }) },
-        { "tenants", nlohmann::json::array({ { { "name", "guild" }, { "api_keys", { "k1", "k2" } } } }) } };
+    return makeConfiguration(version, { "browse", "bids", "photos" },
+        { { "r1", "/browse/", "browse", true }, { "r2", "/bids/", "bids", false } }, { "k1", "k2" });
 }
 
 inline std::vector<std::string> nineServices()
