Split the fault soak by what it plays on, and judge all its calls by one function

An instance with its faults is soak_instance now, the messages that follow from an id are soak_messages; the faults are dispatched by one switch instead of ranges of the enumeration. Two calls to a node and two starts of an ended process were written twice. Calls of the soak itself counted each failure as "not connected"; they are judged like those of callers now, which is stricter.

--- a/packages/soak/src/fault_soak.h
+++ b/packages/soak/src/fault_soak.h
@@ -3,16 +3,9 @@
  */
 #pragma once
 
-#include "emulated_server.h"
 #include "emulated_store.h"
-#include "fault_schedule.h"
-#include "faulty_link.h"
-#include "node_process.h"
 #include "soak_caller.h"
-
-#include <nlohmann/json.hpp>
-
-#include <memory>
+#include "soak_instance.h"
 
 namespace pomelohub {
 
@@ -47,38 +40,29 @@
     soak_report run();
 
 private:
-    struct instance;
-
     std::optional<std::string> startFleet();
     std::optional<std::string> startInstance(std::size_t number);
-    nlohmann::json nodeSettings(const instance& instance) const;
+    void startCallers();
     void configure();
     void play(const planned_fault& fault);
-    void playOnNode(instance& instance, const planned_fault& fault);
-    void playOnLink(instance& instance, const planned_fault& fault);
-    void playOnServer(instance& instance, const planned_fault& fault);
     void playOnStore(store_behaviour behaviour, duration length);
     void after(duration time, std::function<void()> action);
-    void addDisturbance(const instance& instance, bool losesRequests, duration length);
     void checkProcesses();
-    void checkProcess(instance& instance, instant now);
-    void runRequest(instance& instance, const http_message& request, const handle<http_responder>& responder);
-    void applyLinkConditions(instance& instance);
     promise_checker::request makeRequest(std::size_t node, std::string_view service, instant now);
-    std::string expectedBody(const std::string& id) const;
     void endFaults();
     void checkRecovery();
-    std::vector<std::string> stateProblems(const instance& instance);
+    std::vector<std::string> stateProblems(const soak_instance& instance);
     bool areAllServed();
-    bool serves(std::size_t node, std::string_view service);
+    bool serves(const soak_instance& instance, std::string_view service);
+    http_call_result call(const asio::ip::tcp::endpoint& server, const http_message& request);
     bool runUntil(const std::function<bool()>& condition, duration limit);
 
     soak_settings m_settings;
     clock_hook m_clock;
     asio::io_context m_context;
     promise_checker m_checker;
-    std::vector<std::unique_ptr<instance>> m_instances;
-    std::unique_ptr<emulated_store> m_store;
+    std::vector<std::unique_ptr<soak_instance>> m_instances;
+    emulated_store m_store;
     asio::ip::tcp::endpoint m_storeAddress;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     std::vector<std::unique_ptr<one_shot_timer>> m_timers;
--- a/packages/soak/src/soak_caller.cpp
+++ b/packages/soak/src/soak_caller.cpp
@@ -1,5 +1,7 @@
 #include "soak_caller.h"
 
+#include "soak_messages.h"
+
 namespace pomelohub {
 
 namespace {
@@ -46,21 +48,13 @@
     auto request = m_hooks.makeRequest(m_hooks.clock().monotonic);
     m_isWaiting = true;
     m_connection->call(m_node, m_hooks.encode(request), connectTimeout, requestTimeout + responseSlack,
-        [this, request](http_call_result result) { handleResult(request, std::move(result)); });
+        [this, request](const http_call_result& result) { handleResult(request, result); });
 }
 
-void soak_caller::handleResult(const promise_checker::request& request, http_call_result result)
+void soak_caller::handleResult(const promise_checker::request& request, const http_call_result& result)
 {
     m_isWaiting = false;
-    auto now = m_hooks.clock().monotonic;
-    if (result) {
-        m_checker.recordResponse(request.id, { result->status, result->body.view() }, now);
-    } else if (result.error() == http_call_failure::notConnected) {
-        m_checker.recordMissing(request.id, missing_response::notConnected, now);
-    } else {
-        bool isLate = now - request.sentAt >= requestTimeout + responseSlack;
-        m_checker.recordMissing(request.id, isLate ? missing_response::late : missing_response::closed, now);
-    }
+    recordResult(m_checker, request, result, m_hooks.clock().monotonic);
     if (!result && m_connection) {
         m_connection->cancel();
         m_connection = nullptr;
@@ -68,4 +62,17 @@
     pause();
 }
 
+void recordResult(promise_checker& checker, const promise_checker::request& request,
+    const http_call_result& result, instant now)
+{
+    if (result) {
+        checker.recordResponse(request.id, { result->status, result->body.view() }, now);
+    } else if (result.error() == http_call_failure::notConnected) {
+        checker.recordMissing(request.id, missing_response::notConnected, now);
+    } else {
+        bool isLate = now - request.sentAt >= requestTimeout + responseSlack;
+        checker.recordMissing(request.id, isLate ? missing_response::late : missing_response::closed, now);
+    }
+}
+
 } // namespace pomelohub
--- a/packages/soak/src/soak_caller.h
+++ b/packages/soak/src/soak_caller.h
@@ -38,7 +38,7 @@
 private:
     void pause();
     void sendNext();
-    void handleResult(const promise_checker::request& request, http_call_result result);
+    void handleResult(const promise_checker::request& request, const http_call_result& result);
 
     asio::io_context& m_context;
     asio::ip::tcp::endpoint m_node;
@@ -51,8 +51,8 @@
     bool m_isWaiting = false;
 };
 
-/** Time limit of the requests, and how much longer a caller waits before it says that no response came. */
-constexpr duration requestTimeout = std::chrono::seconds(3);
-constexpr duration responseSlack = std::chrono::seconds(2);
+/** Records what a caller got for \p request, at \p now. */
+void recordResult(promise_checker& checker, const promise_checker::request& request,
+    const http_call_result& result, instant now);
 
 } // namespace pomelohub
