--- a/packages/soak/src/fault_schedule.cpp
+++ b/packages/soak/src/fault_schedule.cpp
@@ -12,7 +12,11 @@
     constexpr std::array<std::string_view, faultKindCount> kindNames { "suspend-node", "kill-node",
         "stop-node", "delay-link", "reset-link", "cut-link", "cut-link-one-way", "crash-server",
         "reset-server", "stall-server", "fail-server", "leave-server", "delay-heartbeat", "store-unavailable",
-        "store-silent", "store-loses-replies", "change-configuration" };
+        "store-silent", "store-loses-replies", "change-configuration", "reset-store-link", "cut-store-link",
+        "cut-store-link-one-way", "delay-caller-link", "reset-caller-link", "cut-caller-link",
+        "cut-caller-link-one-way" };
+
+    constexpr auto firstOuterLinkFault = static_cast<std::size_t>(fault_kind::resetStoreLink);
 
     /** The distributions of the standard library differ between implementations. */
     class fault_random {
@@ -43,24 +47,34 @@
         std::mt19937_64 m_generator;
     };
 
+    /** Appends faults of the kinds from \p firstKind to before \p endKind. */
+    void drawFaults(std::vector<planned_fault>& schedule, fault_random& random, std::size_t firstKind,
+        std::size_t endKind, duration meanGap, const schedule_policy& policy)
+    {
+        for (auto at = random.exponential(meanGap); at < policy.length; at += random.exponential(meanGap)) {
+            planned_fault fault { static_cast<fault_kind>(firstKind + random.below(endKind - firstKind)), at,
+                random.between(policy.minFault, policy.maxFault), random.below(policy.nodeCount) };
+            std::size_t repeats
+                = random.fraction() < policy.seriesShare ? 1 + random.below(policy.maxSeries) : 1;
+            for (std::size_t i = 0; i < repeats && fault.at < policy.length; ++i) {
+                schedule.push_back(fault);
+                fault.at += random.between(duration::zero(), policy.maxSeriesGap);
+            }
+        }
+    }
+
 } // namespace
 
 std::string_view toText(fault_kind kind) { return kindNames.at(static_cast<std::size_t>(kind)); }
 
 std::vector<planned_fault> makeSchedule(std::uint64_t seed, const schedule_policy& policy)
 {
-    fault_random random(seed);
     std::vector<planned_fault> schedule;
-    for (auto at = random.exponential(policy.meanGap); at < policy.length;
-         at += random.exponential(policy.meanGap)) {
-        planned_fault fault { static_cast<fault_kind>(random.below(faultKindCount)), at,
-            random.between(policy.minFault, policy.maxFault), random.below(policy.nodeCount) };
-        std::size_t repeats = random.fraction() < policy.seriesShare ? 1 + random.below(policy.maxSeries) : 1;
-        for (std::size_t i = 0; i < repeats && fault.at < policy.length; ++i) {
-            schedule.push_back(fault);
-            fault.at += random.between(duration::zero(), policy.maxSeriesGap);
-        }
-    }
+    fault_random random(seed);
+    drawFaults(schedule, random, 0, firstOuterLinkFault, policy.meanGap, policy);
+    // Their own random numbers, so that a seed keeps the other faults that it stood for before.
+    fault_random linkRandom(~seed);
+    drawFaults(schedule, linkRandom, firstOuterLinkFault, faultKindCount, policy.meanLinkGap, policy);
     std::stable_sort(schedule.begin(), schedule.end(),
         [](const planned_fault& left, const planned_fault& right) { return left.at < right.at; });
     return schedule;
--- a/packages/soak/src/fault_schedule.h
+++ b/packages/soak/src/fault_schedule.h
@@ -31,8 +31,17 @@
     storeSilent,
     storeLosesReplies,
     changeConfiguration,
+    // Of the way from a node to the store.
+    resetStoreLink,
+    cutStoreLink,
+    cutStoreLinkOneWay, ///< Responses are held back.
+    // Of the way from callers to a node.
+    delayCallerLink,
+    resetCallerLink,
+    cutCallerLink,
+    cutCallerLinkOneWay, ///< Responses are held back.
 };
-constexpr std::size_t faultKindCount = 17;
+constexpr std::size_t faultKindCount = 24;
 
 std::string_view toText(fault_kind kind);
 
@@ -47,6 +56,8 @@
     std::size_t nodeCount = 9;
     duration length = std::chrono::seconds(15); ///< No fault begins later.
     duration meanGap = std::chrono::milliseconds(500); ///< Between the starts of two faults or series.
+    duration meanLinkGap
+        = std::chrono::seconds(1); ///< The same for those of the ways to the store and from callers.
     duration minFault = std::chrono::milliseconds(100);
     duration maxFault = std::chrono::milliseconds(3000);
     double seriesShare = 0.3; ///< Of the draws that repeat one fault at one node in short order.
--- a/packages/soak/src/fault_soak.cpp
+++ b/packages/soak/src/fault_soak.cpp
@@ -121,7 +121,7 @@
     for (const auto& each : m_instances) {
         for (std::size_t i = 0; i < m_settings.callersPerNode; ++i) {
             m_callers.push_back(
-                std::make_unique<soak_caller>(m_context, each->node().callers, m_random(), m_checker,
+                std::make_unique<soak_caller>(m_context, each->callerAddress(), m_random(), m_checker,
                     soak_caller::hooks { m_clock,
                         [this, node = each->node().number](instant now) {
                             return makeRequest(node, soakServices.at(m_random() % soakServices.size()), now);
--- a/packages/soak/src/promise_checker.cpp
+++ b/packages/soak/src/promise_checker.cpp
@@ -100,7 +100,8 @@
     }
     for (const auto& each : m_lateRuns) {
         bool isExcused = std::any_of(disturbances.begin(), disturbances.end(), [&](const disturbance& other) {
-            return other.node == each.what.node && other.from <= each.at && each.at <= other.to;
+            return !other.isOfCallers && other.node == each.what.node && other.from <= each.at
+                && each.at <= other.to;
         });
         if (!isExcused)
             recordBreach(
--- a/packages/soak/src/promise_checker.h
+++ b/packages/soak/src/promise_checker.h
@@ -73,6 +73,7 @@
         bool losesRequests = false; ///< It may end connections without a response.
         instant from {};
         instant to {};
+        bool isOfCallers = false; ///< Only the way from its callers is disturbed.
     };
 
     /** Judges the requests that got no response, and the runs at servers that had left. \return all breaches,
--- a/packages/soak/src/soak_instance.cpp
+++ b/packages/soak/src/soak_instance.cpp
@@ -18,6 +18,8 @@
 
     constexpr duration exitSlack = seconds(1); ///< After the grace period, for a machine that is busy.
     constexpr duration lastMoments = milliseconds(500); ///< Of a process that was told to stop.
+    constexpr duration resetNoticeTime
+        = milliseconds(20); ///< Until callers do not use a connection that was reset.
     constexpr duration serverRestartTime = milliseconds(300);
     constexpr duration serviceTimeAfterLeaving = leavingBound + milliseconds(1500);
     constexpr duration heartbeatRepeatDelay = milliseconds(1500);
@@ -27,10 +29,10 @@
     constexpr int okStatus = 200;
     constexpr int failedStatus = 500;
 
-    emulated_node makeNode(std::size_t number, std::string service, const asio::ip::tcp::endpoint& store)
+    emulated_node makeNode(std::size_t number, std::string service)
     {
         emulated_node node { number, std::move(service), freeEndpoint(), freeEndpoint(), freeEndpoint(),
-            freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), store };
+            freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint() };
         node.gracePeriod = soakGracePeriod;
         return node;
     }
@@ -56,12 +58,15 @@
     const asio::ip::tcp::endpoint& store, const std::string& program, const std::string& directory,
     promise_checker& checker, hooks hooks)
     : m_context(context)
-    , m_node(makeNode(number, std::move(service), store))
+    , m_node(makeNode(number, std::move(service)))
     , m_checker(checker)
     , m_hooks(std::move(hooks))
     , m_serverAddress(freeEndpoint())
+    , m_callerAddress(freeEndpoint())
     , m_peerLink(context, m_node.peers, m_hooks.clock)
     , m_serverLink(context, m_serverAddress, m_hooks.clock)
+    , m_storeLink(context, store, m_hooks.clock)
+    , m_callerLink(context, m_node.callers, m_hooks.clock)
     , m_server(context,
           { m_node.service, "i-" + std::to_string(number), slots, m_serverAddress, m_node.server,
               m_node.control },
@@ -77,6 +82,8 @@
 {
     std::ofstream(directory + "/node-" + std::to_string(number) + ".json")
         << makeNodeSettings(m_node).dump(4);
+    // A caller cannot tell it from a request that was lost.
+    m_callerLink.onTargetRefused = [this] { disturbCallers(duration::zero()); };
 }
 
 std::optional<std::string> soak_instance::start()
@@ -85,6 +92,10 @@
         return error;
     if (auto error = m_serverLink.listen(m_node.server))
         return error;
+    if (auto error = m_storeLink.listen(m_node.store))
+        return error;
+    if (auto error = m_callerLink.listen(m_callerAddress))
+        return error;
     if (auto error = m_process.start())
         return error;
     return m_server.start();
@@ -137,7 +148,25 @@
     case fault_kind::delayLink:
     case fault_kind::cutLink:
     case fault_kind::cutLinkOneWay:
-        playOnLink(fault);
+        playOnLink(m_peerLink, peerLinkKinds, fault);
+        break;
+    case fault_kind::resetStoreLink:
+        m_storeLink.resetAll();
+        break;
+    case fault_kind::cutStoreLink:
+    case fault_kind::cutStoreLinkOneWay:
+        playOnLink(m_storeLink, storeLinkKinds, fault);
+        break;
+    case fault_kind::resetCallerLink:
+        disturbCallers(resetNoticeTime);
+        m_callerLink.resetAll();
+        break;
+    case fault_kind::cutCallerLink:
+    case fault_kind::cutCallerLinkOneWay:
+        disturbCallers(fault.length);
+        [[fallthrough]];
+    case fault_kind::delayCallerLink:
+        playOnLink(m_callerLink, callerLinkKinds, fault);
         break;
     case fault_kind::crashServer:
         crashServer(fault.length);
@@ -231,28 +260,34 @@
     endNode(lastMoments);
 }
 
-void soak_instance::playOnLink(const planned_fault& fault)
+void soak_instance::disturbCallers(duration length)
+{
+    auto now = m_hooks.clock().monotonic;
+    m_hooks.addDisturbance({ m_node.number, true, now, now + length, true });
+}
+
+void soak_instance::playOnLink(faulty_link& link, const link_kinds& kinds, const planned_fault& fault)
 {
     m_linkFaults.push_back(fault);
-    applyLinkConditions();
-    m_hooks.after(fault.length, [this, at = fault.at, kind = fault.kind] {
+    link.setCondition(conditionOf(kinds));
+    m_hooks.after(fault.length, [this, &link, kinds, at = fault.at, kind = fault.kind] {
         auto ended = std::find_if(m_linkFaults.begin(), m_linkFaults.end(),
             [&](const planned_fault& each) { return each.at == at && each.kind == kind; });
         m_linkFaults.erase(ended);
-        applyLinkConditions();
+        link.setCondition(conditionOf(kinds));
     });
 }
 
-void soak_instance::applyLinkConditions()
+link_condition soak_instance::conditionOf(const link_kinds& kinds) const
 {
     link_condition condition;
     for (const auto& each : m_linkFaults) {
-        condition.delay += each.kind == fault_kind::delayLink ? linkDelay : duration::zero();
-        condition.isCutToTarget = condition.isCutToTarget || each.kind == fault_kind::cutLink;
-        condition.isCutFromTarget = condition.isCutFromTarget || each.kind == fault_kind::cutLink
-            || each.kind == fault_kind::cutLinkOneWay;
+        condition.delay += each.kind == kinds.delay ? linkDelay : duration::zero();
+        condition.isCutToTarget = condition.isCutToTarget || each.kind == kinds.cut;
+        condition.isCutFromTarget
+            = condition.isCutFromTarget || each.kind == kinds.cut || each.kind == kinds.cutOneWay;
     }
-    m_peerLink.setCondition(condition);
+    return condition;
 }
 
 void soak_instance::crashServer(duration downTime)
--- a/packages/soak/src/soak_instance.h
+++ b/packages/soak/src/soak_instance.h
@@ -1,5 +1,5 @@
 /** \file
- * Defines soak_instance, a node process with the backend server beside it and the links to both.
+ * Defines soak_instance, a node process with the backend server beside it and the links to and from both.
  */
 #pragma once
 
@@ -37,6 +37,9 @@
     std::optional<std::string> start();
 
     const emulated_node& node() const { return m_node; }
+
+    /** Where callers reach the node. */
+    const asio::ip::tcp::endpoint& callerAddress() const { return m_callerAddress; }
     bool isRunning() const { return m_process.isRunning(); }
 
     /** Whether no fault of it lasts. */
@@ -54,8 +57,20 @@
     void killNode(duration downTime);
     void stopNode();
     void endNode(duration downTime);
-    void playOnLink(const planned_fault& fault);
-    void applyLinkConditions();
+    struct link_kinds {
+        std::optional<fault_kind> delay;
+        fault_kind cut;
+        fault_kind cutOneWay;
+    };
+    static constexpr link_kinds peerLinkKinds { fault_kind::delayLink, fault_kind::cutLink,
+        fault_kind::cutLinkOneWay };
+    static constexpr link_kinds storeLinkKinds { std::nullopt, fault_kind::cutStoreLink,
+        fault_kind::cutStoreLinkOneWay };
+    static constexpr link_kinds callerLinkKinds { fault_kind::delayCallerLink, fault_kind::cutCallerLink,
+        fault_kind::cutCallerLinkOneWay };
+    void playOnLink(faulty_link& link, const link_kinds& kinds, const planned_fault& fault);
+    link_condition conditionOf(const link_kinds& kinds) const;
+    void disturbCallers(duration length);
     void crashServer(duration downTime);
     void stallServer(duration length);
     void failServer(duration length);
@@ -66,8 +81,11 @@
     promise_checker& m_checker;
     hooks m_hooks;
     asio::ip::tcp::endpoint m_serverAddress; ///< Behind the link to the server.
+    asio::ip::tcp::endpoint m_callerAddress; ///< Before the link to the node.
     faulty_link m_peerLink;
     faulty_link m_serverLink;
+    faulty_link m_storeLink;
+    faulty_link m_callerLink;
     emulated_server m_server;
     node_process m_process;
     std::vector<planned_fault> m_linkFaults; ///< That have not ended.
--- a/test/soak/faulty_link.cpp
+++ b/test/soak/faulty_link.cpp
@@ -2,6 +2,7 @@
  * What a relay does to the connections that pass through it.
  */
 #include "faulty_link.h"
+#include "node_process.h"
 
 #include "loopback.h"
 
@@ -98,6 +99,19 @@
     CHECK(fixture.run([&] { return fixture.caller->received == "x"; }));
 }
 
+TEST_CASE("A link says that its target has refused a connection, and resets it")
+{
+    link_fixture fixture;
+    REQUIRE(fixture.run([&] { return !fixture.accepted.empty(); }));
+    fixture.acceptor.close();
+    int refusals = 0;
+    fixture.link.onTargetRefused = [&] { ++refusals; };
+    raw_caller later(fixture.context, fixture.address);
+    REQUIRE(fixture.run([&] { return later.isClosed; }));
+    CHECK(later.wasReset);
+    CHECK(refusals == 1);
+}
+
 TEST_CASE("A link that is reset ends its connections at both ends, and one that refuses takes none")
 {
     link_fixture fixture;
@@ -111,3 +125,14 @@
     REQUIRE(fixture.run([&] { return later.isClosed; }));
     CHECK(later.wasReset);
 }
+
+TEST_CASE("A process that is started meanwhile does not keep a connection that is reset")
+{
+    link_fixture fixture;
+    fixture.caller->write("x");
+    REQUIRE(fixture.run([&] { return fixture.caller->received == "x"; }));
+    node_process child("/bin/sleep", { "60" }, "/dev/null");
+    REQUIRE_FALSE(child.start());
+    fixture.link.resetAll();
+    CHECK(fixture.run([&] { return fixture.caller->isClosed && fixture.wasReset; }));
+}
--- a/test/soak/promise_checker.cpp
+++ b/test/soak/promise_checker.cpp
@@ -154,6 +154,11 @@
     CHECK(fixture.broken().empty());
     fixture.send("b");
     fixture.run("b", "bids", start + leavingBound + 1ms);
-    CHECK(fixture.broken({ { 1, false, start, start + 9s } }).empty());
-    CHECK(fixture.broken() == promises { "no request after a server has left" });
+    promises expected { "no request after a server has left" };
+    SUBCASE("not excused") { CHECK(fixture.broken() == expected); }
+    SUBCASE("that was suspended") { CHECK(fixture.broken({ { 1, false, start, start + 9s } }).empty()); }
+    SUBCASE("also if only its callers were disturbed")
+    {
+        CHECK(fixture.broken({ { 1, true, start, start + 9s, true } }) == expected);
+    }
 }
