Send nothing to a cold server before the configuration tells how much it bears

The node beside it had been started again after a loss of power and had the heartbeat of its server, cold for 3 s, 60 ms before the configuration, in which the rate stands. Without the rate it set no limit. What other nodes offered in these 60 ms was admitted to all slots at once.

Such a request is now refused as not run, so that it goes to another server. The test 'A cold server gets nothing before the configuration tells how much it bears' failed before.

--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -82,6 +82,8 @@
         return notRun(refusal_reason::noBackendServer, "the backend server has not announced itself");
     if (m_hooks.isQuarantined(request.request.fingerprint, now))
         return tl::unexpected(quarantineRefusal(request.request.fingerprint));
+    if (m_identity.isCold(now) && !profileIn(snapshot))
+        return notRun(refusal_reason::nodeStarting, "it is not known yet how much the cold server bears");
     if (!m_healthCheck.isSuspect())
         return {};
     bool mayBeTrial = request.request.mayBeTrial || m_healthCheck.hasNoRecentFailure(now);
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -134,13 +134,15 @@
         return "HTTP/1.1 503 Busy\r\n" + idField + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     }
 
-    void beat(const char* id = "i-1", bool isDraining = false, std::chrono::milliseconds startedAt = 1000ms)
+    void beat(const char* id = "i-1", bool isDraining = false, std::chrono::milliseconds startedAt = 1000ms,
+        duration warmupLeft = {})
     {
         backend_heartbeat heartbeat;
         heartbeat.id = backend_server_id(id);
         heartbeat.service = service_id("a");
         heartbeat.slots = 2;
         heartbeat.isDraining = isDraining;
+        heartbeat.warmupLeft = warmupLeft;
         heartbeat.sequence = ++sequence;
         heartbeat.startedAt = wall_time(startedAt);
         gateway.handleHeartbeat(heartbeat);
@@ -385,6 +387,21 @@
     CHECK(fixture.backend.requests.empty());
 }
 
+TEST_CASE("A cold server gets nothing before the configuration tells how much it bears")
+{
+    gateway_fixture fixture;
+    auto routes = fixture.snapshot->routes;
+    fixture.snapshot->routes = nullptr;
+    fixture.beat("i-2", false, 2000ms, 5s);
+    checkNotRun(fixture.submit(), refusal_reason::nodeStarting);
+    CHECK(fixture.backend.connections == 0);
+    fixture.snapshot->routes = routes;
+    CHECK(fixture.submit().response);
+    fixture.snapshot->routes = nullptr;
+    fixture.beat("i-2", false, 2000ms);
+    CHECK(fixture.submit().response);
+}
+
 TEST_CASE("A request that another node lets pass is refused beside the server while it is quarantined")
 {
     gateway_fixture fixture;
