Choose backend servers by an estimated failure risk instead of a suspicion after one failure

No constant of the former moving average served both: it was a hair trigger while servers were idle, and lost room when room was short.

The node beside a server now holds a belief over three states (sound, failing a part, failing nearly all), updated by each outcome and drifting back with time, and derives the failure risk of the next request from it. What all servers of the service fail is no risk of one of them: the base rate is the median over the service, which travels with the replies. Each stage of the choice accepts a risk of its own, by what a failure costs that kind of request, and an entry prefers the lower risk within a stage. A server at risk still gets trials, after 1.5 s without a failure (2.5 s before) also by requests that must run once.

Requests of nodes of earlier versions, which name no limit, are taken with 0.2.

--- a/packages/decisions/src/admission_queue.cpp
+++ b/packages/decisions/src/admission_queue.cpp
@@ -90,6 +90,15 @@
     return found != m_ranks.end() && found->second.remove(request);
 }
 
+void admission_queue::refuseIf(
+    const std::function<bool(const queued_request&)>& isRefused, const request_error& reason, instant now)
+{
+    expire(now);
+    for (auto& [rank, queue] : m_ranks)
+        queue.takeIf(
+            isRefused, [&](handle<queued_request> request) { m_refuse(std::move(request), reason); });
+}
+
 void admission_queue::refuseAll(const request_error& reason, instant now)
 {
     for (auto& [rank, queue] : m_ranks) {
--- a/packages/decisions/src/admission_queue.h
+++ b/packages/decisions/src/admission_queue.h
@@ -57,6 +57,10 @@
     /** Removes a waiting request. \return whether it was still waiting. */
     bool remove(queued_request& request);
 
+    /** Refuses the waiting requests that \p isRefused selects for \p reason. */
+    void refuseIf(const std::function<bool(const queued_request&)>& isRefused, const request_error& reason,
+        instant now);
+
     /** Refuses all waiting requests for \p reason. */
     void refuseAll(const request_error& reason, instant now);
 
--- a/packages/decisions/src/backend_selector.cpp
+++ b/packages/decisions/src/backend_selector.cpp
@@ -23,15 +23,22 @@
     const selection_input& view, bool includeUnhealthy, const choice_random_hook& random, instant now) const
 {
     return choosePeer(view.candidates, view.evacuated,
-        { m_ownDataCentre, m_tried, view.retryRule, !m_hasTriedSuspect, includeUnhealthy }, m_policy.choice,
-        random, now);
+        { m_ownDataCentre, m_tried, view.retryRule, preferredRisk(view), !m_hasBeenTrial, includeUnhealthy },
+        m_policy.choice, random, now);
 }
 
-suspect_rule backend_selector::currentSuspectRule(const selection_input& view, instant now) const
+double backend_selector::preferredRisk(const selection_input& view) const
 {
-    bool hasHealthyPeer = std::any_of(view.candidates.begin(), view.candidates.end(),
-        [&](const auto& each) { return isHealthyPeer(*each, view.evacuated, now); });
-    return hasHealthyPeer ? suspect_rule::failingInPart : suspect_rule::any;
+    return (m_stage == stage::idleSlot ? m_policy.idleStageRisk : m_policy.preferredRisk).of(view.retryRule);
+}
+
+/** When all servers of a service fail, their risks do not tell them apart. */
+double backend_selector::lastResortRisk(const selection_input& view, instant now) const
+{
+    auto limit = m_policy.lastResortRisk.of(view.retryRule);
+    bool hasOther = std::any_of(view.candidates.begin(), view.candidates.end(),
+        [&](const auto& each) { return isHealthyPeer(*each, view.evacuated, preferredRisk(view), now); });
+    return hasOther ? limit : 1;
 }
 
 handle<peer_state> backend_selector::takeShortestWait(
@@ -40,7 +47,7 @@
     std::erase_if(m_waitingPeers, [&](const waiting_peer& each) {
         bool isCandidate
             = std::find(view.candidates.begin(), view.candidates.end(), each.peer) != view.candidates.end();
-        return !isCandidate || !isHealthyPeer(*each.peer, view.evacuated, now);
+        return !isCandidate || !isHealthyPeer(*each.peer, view.evacuated, preferredRisk(view), now);
     });
     auto shortest = std::min_element(m_waitingPeers.begin(), m_waitingPeers.end(),
         [](const waiting_peer& left, const waiting_peer& right) { return left.wait < right.wait; });
@@ -58,20 +65,20 @@
     case stage::idleSlot:
         if (m_idleAttempts++ < m_policy.maxIdleAttempts)
             return { choosePeerFor(view, false, random, now),
-                std::min(view.timeLeft, m_policy.maxIdleStageWait) };
+                std::min(view.timeLeft, m_policy.maxIdleStageWait), preferredRisk(view) };
         return {};
     case stage::shortWait: {
         auto wait = maxWait(view, m_policy.shortWaitFraction);
         if (auto peer = takeShortestWait(view, wait, now))
-            return { peer, wait };
-        return { choosePeerFor(view, false, random, now), wait };
+            return { peer, wait, preferredRisk(view) };
+        return { choosePeerFor(view, false, random, now), wait, preferredRisk(view) };
     }
-    case stage::suspect:
+    case stage::atRisk:
         return { choosePeerFor(view, true, random, now), maxWait(view, m_policy.longWaitFraction),
-            currentSuspectRule(view, now) };
+            lastResortRisk(view, now) };
     case stage::longWait: {
         auto wait = maxWait(view, m_policy.longWaitFraction);
-        return { takeShortestWait(view, wait, now), wait };
+        return { takeShortestWait(view, wait, now), wait, preferredRisk(view) };
     }
     }
     return {};
@@ -80,8 +87,8 @@
 void backend_selector::enterNextStage()
 {
     m_stage = static_cast<stage>(static_cast<int>(m_stage) + 1);
-    // Servers that refused as suspect or avoided may be tried once more.
-    if (m_stage == stage::suspect)
+    // Servers that refused for their risk or were avoided may be tried once more.
+    if (m_stage == stage::atRisk)
         m_tried = m_reached;
 }
 
@@ -93,7 +100,7 @@
     for (;;) {
         auto selection = selectInStage(view, random, now);
         if (selection.peer) {
-            m_hasTriedSuspect = m_hasTriedSuspect || selection.peer->isSuspect();
+            m_hasBeenTrial = m_hasBeenTrial || selection.peer->failureRisk(now) > selection.maxFailureRisk;
             m_tried.push_back(selection.peer->announcement.node);
             return selection;
         }
@@ -103,13 +110,14 @@
     }
 }
 
-handle<peer_state> backend_selector::selectHedge(
-    const selection_input& view, const choice_random_hook& random, instant now)
+std::optional<backend_selection> backend_selector::selectHedge(
+    const selection_input& view, duration maxQueueTime, const choice_random_hook& random, instant now)
 {
     auto peer = choosePeerFor(view, false, random, now);
-    if (peer)
-        m_tried.push_back(peer->announcement.node);
-    return peer;
+    if (!peer)
+        return std::nullopt;
+    m_tried.push_back(peer->announcement.node);
+    return backend_selection { peer, maxQueueTime, preferredRisk(view) };
 }
 
 void backend_selector::recordRefusal(const handle<peer_state>& peer, duration wait)
--- a/packages/decisions/src/backend_selector.h
+++ b/packages/decisions/src/backend_selector.h
@@ -1,16 +1,22 @@
 /** \file
  * Defines backend_selector, which selects the backend servers that the entry node of a request tries in turn.
  * The order is made for services near or above their capacity and for services with many failing servers: an
- * idle slot is preferred to a short wait, a short wait to a server that fails some of its requests, and such
- * a server to a long wait.
+ * idle slot is preferred to a short wait, a short wait to a server at risk, and such a server to a long wait.
  */
 #pragma once
 
-#include "passive_health_check.h"
 #include "peer_choice.h"
 
 namespace pomelohub {
 
+/** Maximum failure risk by kind of request. One that must run once is lost by a failure. */
+struct failure_risk_limit {
+    double once = 1;
+    double idempotent = 1;
+
+    double of(retry_rule rule) const { return rule == retry_rule::idempotent ? idempotent : once; }
+};
+
 struct backend_selector_policy {
     peer_choice_policy choice;
     /** Maximum wait for a slot while another server may be idle; about ten trips between nodes. */
@@ -24,6 +30,13 @@
     double longWaitFraction = 0.7;
     /** Maximum number of refusals by nodes whose backend server did not get the request; bounds the work. */
     std::uint32_t maxRefusals = 12;
+    /** Maximum failure risk of a server with an idle slot while others may be idle, too. */
+    failure_risk_limit idleStageRisk { 0.10, 0.2 };
+    /** Maximum failure risk of servers that are preferred to a long wait. */
+    failure_risk_limit preferredRisk { 0.2, 0.4 };
+    /** Maximum failure risk of servers that are tried when no other has room, while others are below it: a
+     * refusal that says that the request has not run serves a caller better than an unknown outcome. */
+    failure_risk_limit lastResortRisk { 0.8, 0.8 };
 };
 
 /** The inputs of one selection, besides what backend_selector remembers of earlier attempts. */
@@ -39,7 +52,7 @@
 struct backend_selection {
     handle<peer_state> peer;
     duration maxQueueTime {}; ///< Maximum wait for a slot there.
-    suspect_rule suspectRule = suspect_rule::trialsOnly;
+    double maxFailureRisk = 0; ///< Of the backend server; trials are excepted.
 };
 
 /** The selection for one request. Thread safety: one thread at a time. */
@@ -52,9 +65,10 @@
     std::optional<backend_selection> select(
         const selection_input& view, const choice_random_hook& random, instant now);
 
-    /** Selects another backend server for a hedged request, or null. It then counts as tried. */
-    handle<peer_state> selectHedge(
-        const selection_input& view, const choice_random_hook& random, instant now);
+    /** Selects another backend server for a hedged request, which may wait there for \p maxQueueTime. It then
+     * counts as tried. \return nothing when none is eligible. */
+    std::optional<backend_selection> selectHedge(
+        const selection_input& view, duration maxQueueTime, const choice_random_hook& random, instant now);
 
     /** Notes that \p peer refused the request before it reached the backend server. \param wait estimated by
      * the peer for a slot, or zero where waiting would not help. */
@@ -70,7 +84,7 @@
     enum class stage {
         idleSlot,
         shortWait,
-        suspect,
+        atRisk,
         longWait,
     };
     struct waiting_peer {
@@ -80,7 +94,8 @@
 
     handle<peer_state> choosePeerFor(const selection_input& view, bool includeUnhealthy,
         const choice_random_hook& random, instant now) const;
-    suspect_rule currentSuspectRule(const selection_input& view, instant now) const;
+    double preferredRisk(const selection_input& view) const;
+    double lastResortRisk(const selection_input& view, instant now) const;
     handle<peer_state> takeShortestWait(const selection_input& view, duration maxWaitAllowed, instant now);
     backend_selection selectInStage(
         const selection_input& view, const choice_random_hook& random, instant now);
@@ -92,7 +107,7 @@
     std::uint32_t m_idleAttempts = 0;
     std::uint32_t m_refusals = 0;
     /** At most one trial per request: refused trials would use up its attempts. */
-    bool m_hasTriedSuspect = false;
+    bool m_hasBeenTrial = false;
     std::vector<node_id> m_tried;
     std::vector<node_id> m_reached;
     std::vector<waiting_peer> m_waitingPeers;
--- a/packages/decisions/src/core_types.h
+++ b/packages/decisions/src/core_types.h
@@ -33,6 +33,9 @@
     return std::chrono::duration_cast<duration>(time * factor);
 }
 
+/** \p ratio, which is not negative, in whole percent. */
+inline std::uint64_t percentOf(double ratio) { return static_cast<std::uint64_t>(ratio * 100 + 0.5); }
+
 /** A point in time of the wall clock, as in idempotency keys and log records. */
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
--- a/packages/decisions/src/fair_queue.cpp
+++ b/packages/decisions/src/fair_queue.cpp
@@ -85,21 +85,27 @@
     return nullptr;
 }
 
-void fair_queue::expire(instant now, const std::function<void(handle<queued_request>)>& expired)
+void fair_queue::takeIf(const std::function<bool(const queued_request&)>& isTaken,
+    const std::function<void(handle<queued_request>)>& taken)
 {
-    std::vector<handle<queued_request>> expiredRequests;
+    std::vector<handle<queued_request>> selected;
     for (auto& queue : m_roundRobin) {
         for (auto& request : queue.requests) {
-            if (request.deadline <= now)
-                expiredRequests.emplace_back(&request);
+            if (isTaken(request))
+                selected.emplace_back(&request);
         }
     }
-    for (auto& request : expiredRequests) {
+    for (auto& request : selected) {
         remove(*request);
-        expired(std::move(request));
+        taken(std::move(request));
     }
 }
 
+void fair_queue::expire(instant now, const std::function<void(handle<queued_request>)>& expired)
+{
+    takeIf([now](const queued_request& request) { return request.deadline <= now; }, expired);
+}
+
 bool fair_queue::remove(queued_request& request)
 {
     if (!request.is_linked())
--- a/packages/decisions/src/fair_queue.h
+++ b/packages/decisions/src/fair_queue.h
@@ -42,6 +42,10 @@
     /** Removes \p request if it is still queued. \return whether it was. */
     bool remove(queued_request& request);
 
+    /** Removes the requests that \p isTaken selects and hands them to \p taken. */
+    void takeIf(const std::function<bool(const queued_request&)>& isTaken,
+        const std::function<void(handle<queued_request>)>& taken);
+
     /** Removes all requests whose deadline has passed at \p now and hands them to \p expired. */
     void expire(instant now, const std::function<void(handle<queued_request>)>& expired);
 
--- a/packages/decisions/src/passive_health_check.cpp
+++ b/packages/decisions/src/passive_health_check.cpp
@@ -1,9 +1,16 @@
 #include "passive_health_check.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomelohub {
 
+namespace {
+
+    double secondsOf(duration time) { return std::chrono::duration<double>(time).count(); }
+
+} // namespace
+
 std::string_view toText(backend_outcome outcome)
 {
     switch (outcome) {
@@ -19,107 +26,95 @@
     return "";
 }
 
-std::string_view toText(suspect_rule rule)
+passive_health_check::passive_health_check(passive_health_policy policy)
+    : m_policy(policy)
+    , m_baseFailureRatio(policy.minBaseFailureRatio)
+    , m_observedFailureRatio(policy.minBaseFailureRatio)
 {
-    switch (rule) {
-    case suspect_rule::trialsOnly:
-        return "trials-only";
-    case suspect_rule::failingInPart:
-        return "failing-in-part";
-    case suspect_rule::any:
-        return "any";
-    }
-    return "";
+    m_belief = beliefAt(instant::max());
 }
 
-suspect_rule suspectRuleFromText(std::string_view text)
+/** The belief after a time without outcomes, in which the server may have failed or recovered. */
+passive_health_check::belief passive_health_check::beliefAt(instant now) const
 {
-    for (auto rule : { suspect_rule::failingInPart, suspect_rule::any }) {
-        if (text == toText(rule))
-            return rule;
-    }
-    return suspect_rule::trialsOnly;
+    auto partialRate = 1 / secondsOf(m_policy.meanTimeToPartialFailure);
+    auto fullRate = 1 / secondsOf(m_policy.meanTimeToFullFailure);
+    auto recoveryRate = 1 / secondsOf(m_policy.meanFailureTime);
+    auto totalRate = partialRate + fullRate + recoveryRate;
+    auto seconds = std::max(0.0, secondsOf(now - m_updatedAt));
+    auto sum = m_belief.partial + m_belief.full;
+    // The probability of being sound relaxes at the total rate; what leaves it is split by the rates of
+    // failure.
+    auto failingLimit = (partialRate + fullRate) / totalRate;
+    auto failing = failingLimit + (sum - failingLimit) * std::exp(-totalRate * seconds);
+    auto kept = std::exp(-recoveryRate * seconds);
+    auto begun = std::max(0.0, failing - sum * kept);
+    auto partialShare = partialRate / (partialRate + fullRate);
+    return { m_belief.partial * kept + begun * partialShare,
+        m_belief.full * kept + begun * (1 - partialShare) };
 }
 
-passive_health_check::passive_health_check(passive_health_policy policy)
-    : m_policy(policy)
-    , m_successesToClear(policy.successesToClear)
+double passive_health_check::partialFailureRatio() const
 {
+    constexpr double margin = 0.25;
+    return std::max(m_policy.partialFailureRatio, m_baseFailureRatio + margin);
 }
 
-double passive_health_check::weightOf(backend_outcome outcome) const
+double passive_health_check::riskOf(const belief& state) const
 {
-    switch (outcome) {
-    case backend_outcome::served:
-        return 0;
-    case backend_outcome::failed:
-        return m_policy.failedWeight;
-    case backend_outcome::broken:
-    case backend_outcome::stuck:
-        return m_policy.brokenWeight;
-    }
-    return 0;
+    auto failing = state.partial * (partialFailureRatio() - m_baseFailureRatio)
+        + state.full * (m_policy.fullFailureRatio - m_baseFailureRatio);
+    return failing / (1 - m_baseFailureRatio);
 }
 
-bool passive_health_check::record(backend_outcome outcome, instant startedAt, instant now)
+double passive_health_check::failureRisk(instant now) const { return riskOf(beliefAt(now)); }
+
+bool passive_health_check::record(backend_outcome outcome, instant now)
 {
     bool isServed = outcome == backend_outcome::served;
-    m_failureScore
-        = m_failureScore * m_policy.previousWeight + weightOf(outcome) * (1 - m_policy.previousWeight);
-    m_failureRatio = m_failureRatio * m_policy.previousWeight + (isServed ? 0 : 1 - m_policy.previousWeight);
+    m_observedFailureRatio
+        = m_observedFailureRatio * m_policy.previousWeight + (isServed ? 0 : 1 - m_policy.previousWeight);
+    auto prior = beliefAt(now);
+    auto likelihood = [&](double failureRatio) { return isServed ? 1 - failureRatio : failureRatio; };
+    auto soundLikelihood = outcome == backend_outcome::stuck ? m_baseFailureRatio * m_policy.stuckShare
+                                                             : likelihood(m_baseFailureRatio);
+    auto sound = (1 - prior.partial - prior.full) * soundLikelihood;
+    auto partial = prior.partial * likelihood(partialFailureRatio());
+    auto full = prior.full * likelihood(m_policy.fullFailureRatio);
+    auto total = sound + partial + full;
+    m_belief = { partial / total, full / total };
+    m_updatedAt = now;
     if (!isServed)
         m_lastFailure = now;
-    if (m_isSuspect) {
-        if (!isServed) {
-            m_successesInRow = 0;
-            return false;
-        }
-        // The outcome of a request that was sent earlier does not show that the server has recovered since.
-        if (startedAt < m_suspectSince)
-            return false;
-        if (++m_successesInRow < m_successesToClear) {
-            m_nextTrialAt = now; // The interval spares requests of a server that still fails.
-            return false;
-        }
-        m_isSuspect = false;
-        m_failureScore = 0;
-        return true;
-    }
-    if (m_failureScore < m_policy.suspectThreshold)
-        return false;
-    bool isRelapse = m_suspectSince != instant {} && now - m_suspectSince < m_policy.relapseWindow;
-    m_successesToClear = isRelapse ? std::min(m_successesToClear + 1, m_policy.maxSuccessesToClear)
-                                   : m_policy.successesToClear;
-    m_isSuspect = true;
-    m_suspectSince = now;
-    m_successesInRow = 0;
-    m_nextTrialAt = now + m_policy.trialInterval;
-    return true;
+    auto risk = riskOf(m_belief);
+    if (!isServed)
+        m_nextTrialAt = std::max(m_nextTrialAt, now + m_policy.trialInterval);
+    else
+        m_nextTrialAt = now; // The interval spares requests of a server that still fails.
+    bool wasSuspect = m_isSuspect;
+    m_isSuspect = wasSuspect ? risk >= m_policy.clearedRisk : risk > m_policy.suspectRisk;
+    return m_isSuspect != wasSuspect;
+}
+
+void passive_health_check::reset()
+{
+    m_belief = beliefAt(instant::max());
+    m_isSuspect = false;
+    m_nextTrialAt = {};
+    m_lastFailure = {};
 }
 
-bool passive_health_check::accepts(suspect_rule rule) const
+void passive_health_check::setBaseFailureRatio(double ratio)
 {
-    if (!m_isSuspect || rule == suspect_rule::any)
-        return true;
-    return rule == suspect_rule::failingInPart && m_failureRatio <= m_policy.maxFailureRatio;
+    m_baseFailureRatio = std::clamp(ratio, m_policy.minBaseFailureRatio, m_policy.maxBaseFailureRatio);
 }
 
 bool passive_health_check::tryStartTrial(instant now)
 {
-    if (!m_isSuspect || now < m_nextTrialAt)
+    if (now < m_nextTrialAt)
         return false;
     m_nextTrialAt = now + m_policy.trialInterval;
     return true;
 }
 
-void passive_health_check::reset()
-{
-    m_failureScore = 0;
-    m_failureRatio = 0;
-    m_isSuspect = false;
-    m_successesInRow = 0;
-    m_successesToClear = m_policy.successesToClear;
-    m_suspectSince = {};
-}
-
 } // namespace pomelohub
--- a/packages/decisions/src/passive_health_check.h
+++ b/packages/decisions/src/passive_health_check.h
@@ -1,7 +1,7 @@
 /** \file
- * Defines passive_health_check, a passive health check by which the sidecar node of a backend server detects
- * gray failures from the outcomes of its requests. Since that node sees every request of the backend server,
- * a few outcomes are enough.
+ * Defines passive_health_check, a passive health check by which the sidecar node of a backend server
+ * estimates from the outcomes of its requests how likely the next one fails. Since that node sees every
+ * request of the backend server, a few outcomes are enough.
  */
 #pragma once
 
@@ -20,34 +20,25 @@
 /** Text of \p outcome in logs. */
 std::string_view toText(backend_outcome outcome);
 
-/** Which suspect backend servers a request may be sent to. */
-enum class suspect_rule {
-    trialsOnly, ///< None, except as a trial that shows whether the server has recovered.
-    failingInPart, ///< Those that do not fail nearly all of their requests.
-    any, ///< Any: when all servers of a service are suspect, suspicion does not tell them apart.
-};
-
-/** Text of \p rule in messages and logs. */
-std::string_view toText(suspect_rule rule);
-
-/** The rule that \p text names; suspect_rule::trialsOnly for any other text. */
-suspect_rule suspectRuleFromText(std::string_view text);
-
+/** A hidden Markov model: the server is sound, fails a part of its requests, or fails nearly all of them. */
 struct passive_health_policy {
-    double previousWeight = 0.7; ///< Weight of the previous estimate in the moving averages of outcomes.
-    double failedWeight = 0.6; ///< Below brokenWeight, as healthy servers fail some requests, too.
-    double brokenWeight = 1.0;
-    double suspectThreshold = 0.27; ///< Weighted failure ratio from which the server is suspect.
-    duration trialInterval = std::chrono::milliseconds(600); ///< Between trials of a suspect server.
-    std::uint32_t successesToClear = 2; ///< Consecutive served requests that end a suspicion.
-    std::uint32_t maxSuccessesToClear = 6; ///< Each relapse adds one to the number required, up to this.
-    /** After this time without a failure, any request may be a trial. */
-    duration minFailureFreeTime = std::chrono::milliseconds(2500);
-    /** A suspect server with a higher failure ratio gets only trials while other servers of its service work:
-     * a refusal that says that the request has not run serves a caller better than an unknown outcome. */
-    double maxFailureRatio = 0.8;
-    /** Becoming suspect again within this time is a relapse. */
-    duration relapseWindow = std::chrono::seconds(10);
+    /** Bounds of the failure ratio of a sound server, which is learnt from the servers of its service. */
+    double minBaseFailureRatio = 0.01;
+    double maxBaseFailureRatio = 0.5;
+    double partialFailureRatio = 0.4;
+    double fullFailureRatio = 0.97;
+    /** Of the failures of a sound server, the share in which it is stuck. */
+    double stuckShare = 0.25;
+    /** Before a gray failure of each kind begins. */
+    duration meanTimeToPartialFailure = std::chrono::seconds(40);
+    duration meanTimeToFullFailure = std::chrono::seconds(300);
+    duration meanFailureTime = std::chrono::seconds(4);
+    double suspectRisk = 0.5; ///< Failure risk above which the server is suspect.
+    double clearedRisk = 0.15; ///< Failure risk below which it is not suspect any more.
+    double previousWeight = 0.98; ///< Weight of the previous value in the observed failure ratio.
+    duration trialInterval = std::chrono::milliseconds(600); ///< Between trials of a server at risk.
+    /** After this time without a failure, a request that must run once may be a trial, too. */
+    duration minFailureFreeTime = std::chrono::milliseconds(1500);
 };
 
 /** Thread safety: one thread at a time. */
@@ -55,37 +46,51 @@
 public:
     explicit passive_health_check(passive_health_policy policy = {});
 
-    /** Records the outcome of a request that was sent to the server at \p startedAt. \return whether it made
-     * the server suspect or ended the suspicion. */
-    bool record(backend_outcome outcome, instant startedAt, instant now);
+    /** Records the outcome of a request. \return whether it made the server suspect or ended the suspicion.
+     */
+    bool record(backend_outcome outcome, instant now);
 
+    /** The probability that a request which is sent at \p now fails although a sound server would serve it.
+     * Failures that all servers of the service share are no risk of this one. Without outcomes the risk
+     * approaches that of a server of which nothing is known. */
+    double failureRisk(instant now) const;
+
+    /** Whether the last outcomes have made it suspect. */
     bool isSuspect() const { return m_isSuspect; }
 
-    /** Whether a suspect server is due for a trial request. If so, starts the interval until the next one. */
+    /** Whether a trial request is due at a server at risk. If so, starts the interval until the next one. */
     bool tryStartTrial(instant now);
 
-    /** Whether a request with \p rule may be sent to the server although it is not a trial. */
-    bool accepts(suspect_rule rule) const;
-
     /** Whether the last failure is so long ago that a request that must run once may be a trial. */
     bool hasNoRecentFailure(instant now) const { return now - m_lastFailure > m_policy.minFailureFreeTime; }
 
     /** Forgets the outcomes, since the server was restarted. */
     void reset();
 
-    /** Moving average over the recent requests. */
-    double failureRatio() const { return m_failureRatio; }
+    /** Sets the failure ratio of sound servers of the service. */
+    void setBaseFailureRatio(double ratio);
+    double baseFailureRatio() const { return m_baseFailureRatio; }
+
+    /** Moving average over many requests, for setBaseFailureRatio() of other servers. */
+    double observedFailureRatio() const { return m_observedFailureRatio; }
 
 private:
-    double weightOf(backend_outcome outcome) const;
+    /** Probabilities of the states other than sound. */
+    struct belief {
+        double partial = 0;
+        double full = 0;
+    };
+
+    belief beliefAt(instant now) const;
+    double riskOf(const belief& state) const;
+    double partialFailureRatio() const;
 
     passive_health_policy m_policy;
-    double m_failureScore = 0; ///< Moving average of failures, weighted by the kind of outcome.
-    double m_failureRatio = 0;
+    belief m_belief; ///< At m_updatedAt.
+    instant m_updatedAt {};
+    double m_baseFailureRatio;
+    double m_observedFailureRatio;
     bool m_isSuspect = false;
-    std::uint32_t m_successesInRow = 0; ///< Among requests that were sent since it became suspect.
-    std::uint32_t m_successesToClear;
-    instant m_suspectSince {};
     instant m_nextTrialAt {};
     instant m_lastFailure {};
 };
--- a/packages/decisions/src/peer_choice.cpp
+++ b/packages/decisions/src/peer_choice.cpp
@@ -8,6 +8,14 @@
 
 namespace {
 
+    /** Whether the request would be a trial of the backend server of \p peer. */
+    bool isTrial(const peer_state& peer, const peer_choice_request& request, instant now)
+    {
+        if (!request.mayBeTrial || peer.failureRisk(now) <= request.maxFailureRisk || !peer.isTrialDue(now))
+            return false;
+        return request.retryRule == retry_rule::idempotent || peer.isRiskOutdated(now);
+    }
+
     bool isEligible(const peer_state& peer, const std::set<data_centre_id>& evacuated,
         const peer_choice_request& request, instant now)
     {
@@ -16,13 +24,10 @@
             return false;
         if (request.includeUnhealthy)
             return !evacuated.contains(announced.dataCentre);
-        if (isHealthyPeer(peer, evacuated, now))
+        if (isHealthyPeer(peer, evacuated, request.maxFailureRisk, now))
             return true;
-        bool mayBeTrial = request.mayTrySuspects && peer.isSuspect() && !peer.isAvoided(now);
-        if (!mayBeTrial || evacuated.contains(announced.dataCentre))
-            return false;
-        bool isDue = request.retryRule == retry_rule::idempotent && peer.isTrialDue(now);
-        return isDue || peer.isSuspicionExpired(now);
+        return isTrial(peer, request, now) && !evacuated.contains(announced.dataCentre)
+            && !peer.isAvoided(now);
     }
 
     struct candidate {
@@ -41,10 +46,11 @@
 
 } // namespace
 
-bool isHealthyPeer(const peer_state& peer, const std::set<data_centre_id>& evacuated, instant now)
+bool isHealthyPeer(
+    const peer_state& peer, const std::set<data_centre_id>& evacuated, double maxFailureRisk, instant now)
 {
     return !evacuated.contains(peer.announcement.dataCentre) && !peer.isAvoided(now)
-        && !peer.isUnresponsive.load(std::memory_order_relaxed) && !peer.isSuspect();
+        && !peer.isUnresponsive.load(std::memory_order_relaxed) && peer.failureRisk(now) <= maxFailureRisk;
 }
 
 duration suspectTrialDelay(std::size_t nodes, const choice_random_hook& random)
@@ -70,29 +76,25 @@
         const auto& peer = candidates[(first + i) % candidates.size()];
         if (!isEligible(*peer, evacuated, request, now))
             continue;
-        // Only requests that can be retried are sent to a suspect server in preference to others.
-        bool isTrial = request.retryRule == retry_rule::idempotent && request.mayTrySuspects
-            && !request.includeUnhealthy;
-        if (isTrial && peer->isTrialDue(now) && !peer->isSuspicionExpired(now))
+        // Only requests that can be retried are sent to a server at risk in preference to others.
+        if (request.retryRule == retry_rule::idempotent && !request.includeUnhealthy
+            && isTrial(*peer, request, now))
             return peer;
         compared.push_back({ &peer, peer->meanLatency(now) });
     }
     if (compared.empty())
         return nullptr;
     auto typicalMean = typicalLatency(compared);
+    auto failureCost
+        = request.retryRule == retry_rule::idempotent ? policy.retriedFailureCost : policy.lostFailureCost;
     handle<peer_state> best;
     duration bestCost {};
     for (const auto& [candidatePeer, reportedMean] : compared) {
         const auto& peer = *candidatePeer;
         auto mean = reportedMean <= scaled(typicalMean, policy.slowFactor) ? typicalMean : reportedMean;
         auto jitterFactor = 1 + policy.jitter * static_cast<double>(random(jitterSteps)) / jitterSteps;
-        // The failure ratio counts for suspect servers only: a few failures of others are not significant. It
-        // is too old to keep away a request that can be retried once the suspicion has expired.
-        bool isOutdated = request.retryRule == retry_rule::idempotent && peer->isSuspicionExpired(now);
-        auto successRatio = peer->isSuspect() && !isOutdated
-            ? std::max(1 - peer->failureRatio(), policy.minSuccessRatio)
-            : 1;
-        auto cost = scaled(peer->estimatedResponseTime(mean, now), jitterFactor / successRatio);
+        auto riskFactor = 1 + failureCost * peer->failureRisk(now);
+        auto cost = scaled(peer->estimatedResponseTime(mean, now), jitterFactor * riskFactor);
         if (peer->announcement.dataCentre != request.ownDataCentre)
             cost += policy.crossDataCentrePenalty;
         if (!best || cost < bestCost) {
--- a/packages/decisions/src/peer_choice.h
+++ b/packages/decisions/src/peer_choice.h
@@ -24,8 +24,10 @@
     /** A server counts as slow above this multiple of the typical latency of its peers. Smaller differences
      * come from the requests rather than the servers. */
     double slowFactor = 2;
-    /** Lower bound of the success ratio; bounds the cost of a server that fails all requests. */
-    double minSuccessRatio = 0.1;
+    /** Response times that the failure of a request costs: one that may be retried is late by the time of the
+     * failed attempt, one that must run once is lost. */
+    double retriedFailureCost = 3;
+    double lostFailureCost = 10;
 };
 
 /** The properties of a request that the choice depends on. */
@@ -33,23 +35,24 @@
     data_centre_id ownDataCentre;
     std::span<const node_id> tried; ///< Nodes that must not be selected again.
     retry_rule retryRule = retry_rule::idempotent;
-    bool mayTrySuspects = true; ///< Whether the request may be a trial of a suspect server.
-    bool includeUnhealthy = false; ///< Also avoided, unresponsive and suspect nodes.
+    double maxFailureRisk = 1; ///< Servers at a higher risk are left out, but for trials.
+    bool mayBeTrial = true; ///< Whether the request may be a trial of a server at a higher risk.
+    bool includeUnhealthy = false; ///< Also avoided and unresponsive nodes, and servers at any risk.
 };
 
-/** Whether \p peer is not avoided, unresponsive, suspect or in an evacuated data centre. Thread safety: any
- * thread. */
-bool isHealthyPeer(const peer_state& peer, const std::set<data_centre_id>& evacuated, instant now);
+/** Whether \p peer is not avoided, unresponsive or in an evacuated data centre, and its backend server not at
+ * a failure risk above \p maxFailureRisk. Thread safety: any thread. */
+bool isHealthyPeer(
+    const peer_state& peer, const std::set<data_centre_id>& evacuated, double maxFailureRisk, instant now);
 
-/** Time until this node, one of \p nodes, offers a trial to a server that has refused a request as suspect.
+/** Time until this node, one of \p nodes, offers a trial to a server that has refused a request for its risk.
  * The server takes one trial in an interval from all nodes together, and requests of nodes that do not know
- * of the suspicion come in any case, so that of a large fleet no node needs to offer one. */
+ * of the risk come in any case, so that of a large fleet no node needs to offer one. */
 duration suspectTrialDelay(std::size_t nodes, const choice_random_hook& random);
 
-/** Selects the candidate with the lowest estimated response time, adjusted for failures and for the data
- * centre. A suspect server that is due for a trial goes first if the request may be one; once its suspicion
- * has expired, it is a candidate like the others. \return null when no candidate is eligible. Thread safety:
- * any thread. */
+/** Selects the candidate with the lowest expected cost: the estimated response time, adjusted for the failure
+ * risk and for the data centre. A server at a higher risk than allowed that is due for a trial goes first if
+ * the request may be one. \return null when no candidate is eligible. Thread safety: any thread. */
 handle<peer_state> choosePeer(std::span<const handle<peer_state>> candidates,
     const std::set<data_centre_id>& evacuated, const peer_choice_request& request,
     const peer_choice_policy& policy, const choice_random_hook& random, instant now);
--- a/packages/decisions/src/peer_state.cpp
+++ b/packages/decisions/src/peer_state.cpp
@@ -18,11 +18,14 @@
     constexpr std::uint32_t defaultSlots = 4;
     /** Half-life of a reported latency above the default one. */
     constexpr std::chrono::duration<double> latencyHalfLife = std::chrono::seconds(2);
-    /** Time until the first trial of a server that was reported suspect. Its sidecar node limits the rate of
+    /** Time until the first trial of a server that was reported to fail. Its sidecar node limits the rate of
      * trials. */
     constexpr duration firstTrialDelay = std::chrono::milliseconds(200);
-    /** After this time a suspicion says nothing about the current state: gray failures last for seconds. */
-    constexpr duration suspicionLifetime = std::chrono::milliseconds(2500);
+    constexpr double minTrialRisk = 0.1; ///< Servers at a lower risk need no trials.
+    /** Half-life of a reported failure risk. */
+    constexpr std::chrono::duration<double> riskHalfLife = std::chrono::milliseconds(2800);
+    /** After this time a reported risk says little about the current state. */
+    constexpr duration riskLifetime = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -33,29 +36,36 @@
     m_otherLoad.store(load > ownInFlight ? load - ownInFlight : 0, std::memory_order_relaxed);
     m_slots.store(report.slots, std::memory_order_relaxed);
     m_meanLatency.store(report.meanLatency, std::memory_order_relaxed);
-    m_failureRatio.store(report.failureRatio, std::memory_order_relaxed);
+    m_failureRisk.store(report.failureRisk, std::memory_order_relaxed);
+    m_observedFailureRatio.store(report.observedFailureRatio, std::memory_order_relaxed);
     m_reportedAt.store(now, std::memory_order_relaxed);
-    if (!report.isSuspect)
-        m_isSuspect.store(false, std::memory_order_relaxed);
-    else if (!isSuspect())
-        markSuspect(now + firstTrialDelay, now);
+    if (report.failureRisk > minTrialRisk)
+        deferTrial(std::max(now + firstTrialDelay, m_nextTrialAt.load(std::memory_order_relaxed)));
 }
 
-void peer_state::markSuspect(instant nextTrial, instant now)
+void peer_state::deferTrial(instant nextTrial) { m_nextTrialAt.store(nextTrial, std::memory_order_relaxed); }
+
+bool peer_state::isTrialDue(instant now) const
 {
-    m_nextTrialAt.store(nextTrial, std::memory_order_relaxed);
-    m_markedSuspectAt.store(now, std::memory_order_relaxed);
-    m_isSuspect.store(true, std::memory_order_relaxed);
+    return now >= m_nextTrialAt.load(std::memory_order_relaxed);
 }
 
-bool peer_state::isTrialDue(instant now) const
+double peer_state::failureRisk(instant now) const
+{
+    std::chrono::duration<double> age = now - m_reportedAt.load(std::memory_order_relaxed);
+    return m_failureRisk.load(std::memory_order_relaxed) * std::exp2(-std::max(0.0, age / riskHalfLife));
+}
+
+bool peer_state::isRiskOutdated(instant now) const
 {
-    return isSuspect() && now >= m_nextTrialAt.load(std::memory_order_relaxed);
+    return now - m_reportedAt.load(std::memory_order_relaxed) > riskLifetime;
 }
 
-bool peer_state::isSuspicionExpired(instant now) const
+std::optional<double> peer_state::observedFailureRatio() const
 {
-    return now - m_markedSuspectAt.load(std::memory_order_relaxed) > suspicionLifetime;
+    if (m_reportedAt.load(std::memory_order_relaxed) == instant {})
+        return std::nullopt;
+    return m_observedFailureRatio.load(std::memory_order_relaxed);
 }
 
 void peer_state::avoidUntil(instant until)
--- a/packages/decisions/src/peer_state.h
+++ b/packages/decisions/src/peer_state.h
@@ -7,6 +7,7 @@
 #include "instance_announcement.h"
 #include "routing_table.h"
 
+#include <optional>
 #include <set>
 
 namespace pomelohub {
@@ -17,9 +18,10 @@
     std::uint32_t waiting = 0; ///< Requests in the queue.
     std::uint32_t slots = 0;
     duration meanLatency {};
-    double failureRatio = 0; ///< Moving average over its recent requests.
+    double failureRisk = 0; ///< Probability that it fails the next request, though a sound server would not.
     bool isCold = false;
-    bool isSuspect = false; ///< It fails requests and should get trials only.
+    bool isSuspect = false; ///< Its last outcomes show that it fails requests.
+    double observedFailureRatio = 0; ///< Moving average over many of its requests.
     bool operator==(const backend_report&) const = default;
 };
 
@@ -38,16 +40,19 @@
 
     bool isAvoided(instant now) const { return now < m_avoidedUntil.load(std::memory_order_relaxed); }
 
-    /** Marks the backend server as suspect, since its sidecar node reported that or refused a request for the
-     * server's failures. A trial is due at \p nextTrial. */
-    void markSuspect(instant nextTrial, instant now);
-    bool isSuspect() const { return m_isSuspect.load(std::memory_order_relaxed); }
+    /** Offers no trial to the backend server before \p nextTrial, since its sidecar node has refused a
+     * request for the server's failures. */
+    void deferTrial(instant nextTrial);
 
-    /** Whether the backend server is suspect and due for a trial by a request that may be retried. */
+    /** Whether the backend server is due for a trial by a request that may be retried. */
     bool isTrialDue(instant now) const;
 
-    /** Whether the suspicion is too old to say anything about the current state. */
-    bool isSuspicionExpired(instant now) const;
+    /** Probability that a request which is sent at \p now fails there, as last reported. It decays with the
+     * age of the report, since gray failures last for seconds. */
+    double failureRisk(instant now) const;
+
+    /** Whether the last report of a risk is so old that a request that must run once may be a trial. */
+    bool isRiskOutdated(instant now) const;
 
     /** Mean latency of requests there, as last reported. A latency above the default decays towards it with
      * the age of the report, so that a server that was slow is tried again. */
@@ -58,8 +63,8 @@
     duration estimatedResponseTime(duration mean, instant now) const;
     duration estimatedResponseTime(instant now) const { return estimatedResponseTime(meanLatency(now), now); }
 
-    /** Moving average over the recent requests there, as last reported. */
-    double failureRatio() const { return m_failureRatio.load(std::memory_order_relaxed); }
+    /** Moving average over many requests there, as last reported; nothing if there was no report. */
+    std::optional<double> observedFailureRatio() const;
 
     const instance_announcement announcement;
     std::atomic<std::uint32_t> inFlight { 0 }; ///< Requests that this node has sent there.
@@ -70,12 +75,11 @@
     std::atomic<std::uint32_t> m_otherLoad { 0 };
     std::atomic<std::uint32_t> m_slots { 0 };
     std::atomic<duration> m_meanLatency { duration::zero() };
-    std::atomic<double> m_failureRatio { 0 };
+    std::atomic<double> m_failureRisk { 0 };
+    std::atomic<double> m_observedFailureRatio { 0 };
     std::atomic<instant> m_reportedAt { instant {} };
     std::atomic<instant> m_avoidedUntil { instant {} };
-    std::atomic<bool> m_isSuspect { false };
     std::atomic<instant> m_nextTrialAt { instant {} };
-    std::atomic<instant> m_markedSuspectAt { instant {} };
 };
 
 /** A node and its address. */
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -80,15 +80,15 @@
         return notRun(refusal_reason::backendServerDraining, "the backend server leaves");
     if (!m_identity.isAccepting())
         return notRun(refusal_reason::noBackendServer, "the backend server has not announced itself");
-    if (m_hooks.isQuarantined(request.request.fingerprint, now))
-        return tl::unexpected(quarantineRefusal(request.request.fingerprint));
     if (m_identity.isCold(now) && !profileIn(snapshot))
         return notRun(refusal_reason::nodeStarting, "it is not known yet how much the cold server bears");
-    if (!m_healthCheck.isSuspect())
+    if (m_hooks.isQuarantined(request.request.fingerprint, now))
+        return tl::unexpected(quarantineRefusal(request.request.fingerprint));
+    if (m_healthCheck.failureRisk(now) <= request.request.maxFailureRisk)
         return {};
     bool mayBeTrial = request.request.mayBeTrial || m_healthCheck.hasNoRecentFailure(now);
     request.m_isTrial = mayBeTrial && m_healthCheck.tryStartTrial(now);
-    if (request.m_isTrial || m_healthCheck.accepts(request.request.suspectRule))
+    if (request.m_isTrial)
         return {};
     return notRun(refusal_reason::backendServerFailed, "the backend server fails requests");
 }
@@ -347,18 +347,46 @@
                 { "fingerprint", request.request.fingerprint }, { "outcome", toText(outcome) },
                 { "after", now - request.m_startedAt }, { "trial", request.m_isTrial },
                 { "in_use", m_queue.inUse() },
-                { "failing_percent", static_cast<std::uint64_t>(m_healthCheck.failureRatio() * 100) } });
+                { "risk_percent", percentOf(m_healthCheck.failureRisk(now)) } });
     }
-    if (!m_healthCheck.record(outcome, request.m_startedAt, now))
+    m_healthCheck.setBaseFailureRatio(baseFailureRatio());
+    bool hasChanged = m_healthCheck.record(outcome, now);
+    // Waiting requests have not run, so they are refused and can be sent to another server.
+    if (outcome != backend_outcome::served)
+        m_queue.refuseIf(
+            [risk = m_healthCheck.failureRisk(now)](const queued_request& waiting) {
+                return static_cast<const gateway_request&>(waiting).request.maxFailureRisk < risk;
+            },
+            refusal(refusal_reason::backendServerFailed, "the backend server fails requests"), now);
+    if (!hasChanged)
         return;
     m_log.write(event_priority::always, m_healthCheck.isSuspect() ? "backend_suspect" : "backend_cleared",
         request.request.id,
         { { "backend", m_identity.isKnown() ? m_identity.current().id.text() : "" },
-            { "failing_percent", static_cast<std::uint64_t>(m_healthCheck.failureRatio() * 100) } });
-    // Waiting requests have not run, so they are refused and can be sent to another server.
-    if (m_healthCheck.isSuspect())
-        m_queue.refuseAll(
-            refusal(refusal_reason::backendServerFailed, "the backend server fails requests"), now);
+            { "outcome", toText(outcome) }, { "risk_percent", percentOf(m_healthCheck.failureRisk(now)) },
+            { "base_percent", percentOf(m_healthCheck.baseFailureRatio()) } });
+}
+
+/** The failure ratio that most servers of the service have, as far as this node has heard: what they share is
+ * not a fault of one of them. */
+double backend_gateway::baseFailureRatio() const
+{
+    auto snapshot = m_hooks.snapshot();
+    if (!snapshot)
+        return 0;
+    auto peers = snapshot->services.find(m_service);
+    if (peers == snapshot->services.end())
+        return 0;
+    std::vector<double> ratios;
+    for (const auto& each : peers->second) {
+        if (auto ratio = each->observedFailureRatio())
+            ratios.push_back(*ratio);
+    }
+    if (ratios.empty())
+        return 0;
+    auto middle = ratios.begin() + static_cast<std::ptrdiff_t>((ratios.size() - 1) / 2);
+    std::nth_element(ratios.begin(), middle, ratios.end());
+    return *middle;
 }
 
 /** The server has answered a request, so that earlier interruptions were not its crash. */
@@ -601,8 +629,8 @@
 {
     auto now = m_hooks.clock().monotonic;
     return { m_queue.inUse(), static_cast<std::uint32_t>(m_queue.waitingCount()), m_queue.usableSlots(now),
-        m_queue.meanLatency(), m_healthCheck.failureRatio(), m_identity.isCold(now),
-        m_healthCheck.isSuspect() };
+        m_queue.meanLatency(), m_healthCheck.failureRisk(now), m_identity.isCold(now),
+        m_healthCheck.isSuspect(), m_healthCheck.observedFailureRatio() };
 }
 
 void backend_gateway::updateRetryShare()
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -154,6 +154,7 @@
     void handleFailure(gateway_request& request, http_call_failure failure, instant now);
     handle<http_client_connection> makeConnection();
     void handleOversizedResponse(gateway_request& request, instant now);
+    double baseFailureRatio() const;
     void recordOutcome(gateway_request& request, backend_outcome outcome, instant now);
     void applyRequestLimit(std::optional<double> perSecond, instant now);
     void handleLeaving(instant now);
--- a/packages/proxy/src/forwarded_request.cpp
+++ b/packages/proxy/src/forwarded_request.cpp
@@ -6,10 +6,17 @@
 
 namespace {
 
-    constexpr std::size_t unlimited = SIZE_MAX; // The size was limited where the message was received.
-
     std::string toFieldText(std::uint64_t value) { return std::to_string(value); }
 
+    std::string percentText(double ratio) { return toFieldText(percentOf(ratio)); }
+
+    double readPercent(const peer_message& message, std::string_view name)
+    {
+        return static_cast<double>(message.number(name)) / 100;
+    }
+
+    constexpr std::size_t unlimited = SIZE_MAX; // The size was limited where the message was received.
+
     std::optional<http_message> parseComplete(
         http_parser_type type, std::string_view text, bool isHead, const make_body_hook& makeBody)
     {
@@ -38,7 +45,7 @@
         { "nested", request.isNested ? "1" : "0" },
         { "repeat", request.isRetry ? "1" : "0" },
         { "trial", request.mayBeTrial ? "1" : "0" },
-        { "suspects", std::string(toText(request.suspectRule)) },
+        { "max-risk-percent", percentText(request.maxFailureRisk) },
         { "time-left", timeFieldText(request.timeLeft) },
         { "patience", timeFieldText(request.maxQueueTime) },
         { "fingerprint", toFieldText(request.fingerprint) },
@@ -65,7 +72,8 @@
     // trial.
     auto trial = message.value("trial");
     request.mayBeTrial = trial.empty() ? request.retryRule == retry_rule::idempotent : trial == "1";
-    request.suspectRule = suspectRuleFromText(message.value("suspects"));
+    if (!message.value("max-risk-percent").empty())
+        request.maxFailureRisk = readPercent(message, "max-risk-percent");
     request.timeLeft = message.time("time-left");
     request.maxQueueTime = message.time("patience");
     request.fingerprint = message.number("fingerprint");
@@ -88,7 +96,8 @@
         { "waiting", toFieldText(report.waiting) },
         { "slots", toFieldText(report.slots) },
         { "latency", timeFieldText(report.meanLatency) },
-        { "failing-percent", toFieldText(static_cast<std::uint64_t>(report.failureRatio * 100)) },
+        { "failing-percent", percentText(report.failureRisk) },
+        { "observed-percent", percentText(report.observedFailureRatio) },
         { "cold", report.isCold ? "1" : "0" },
         { "suspect", report.isSuspect ? "1" : "0" },
     };
@@ -115,7 +124,8 @@
     reply.report.waiting = static_cast<std::uint32_t>(message.number("waiting"));
     reply.report.slots = static_cast<std::uint32_t>(message.number("slots"));
     reply.report.meanLatency = message.time("latency");
-    reply.report.failureRatio = static_cast<double>(message.number("failing-percent")) / 100;
+    reply.report.failureRisk = readPercent(message, "failing-percent");
+    reply.report.observedFailureRatio = readPercent(message, "observed-percent");
     reply.report.isCold = message.value("cold") == "1";
     reply.report.isSuspect = message.value("suspect") == "1";
     if (auto outcome = executionFromText(message.value("outcome"))) {
--- a/packages/proxy/src/forwarded_request.h
+++ b/packages/proxy/src/forwarded_request.h
@@ -6,13 +6,15 @@
 
 #include "crash_quarantine.h"
 #include "http_message.h"
-#include "passive_health_check.h"
 #include "peer_link.h"
 #include "peer_state.h"
 #include "request_error.h"
 
 namespace pomelohub {
 
+/** Used for requests of nodes of earlier versions, which name none. */
+constexpr double defaultMaxFailureRisk = 0.2;
+
 /** A request as it is forwarded to the sidecar node of a backend server. */
 struct forwarded_request {
     request_id id;
@@ -25,9 +27,11 @@
     /** Another backend server has received the request before, or it is a nested call that is counted as part
      * of a retry. */
     bool isRetry = false;
-    /** Whether it may be the trial of a suspect backend server: if it fails, another one can be tried. */
+    /** Whether it may be the trial of a backend server at a higher risk: if it fails, another one can be
+     * tried.
+     */
     bool mayBeTrial = false;
-    suspect_rule suspectRule = suspect_rule::trialsOnly;
+    double maxFailureRisk = defaultMaxFailureRisk; ///< A server at a higher risk refuses it, but for trials.
     duration timeLeft {}; ///< Time until the deadline of the sender.
     duration maxQueueTime {}; ///< Maximum wait for a slot; the request is refused if it would wait longer.
     request_fingerprint fingerprint = 0;
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -154,16 +154,16 @@
         if (m_attempts.size() != 1 || m_router.m_quarantine.isQuarantined(m_context.fingerprint, present))
             return;
         auto snapshot = m_router.m_hooks.snapshot();
-        auto peer
-            = m_selector.selectHedge(selectionInput(*snapshot, present), m_router.m_hooks.random, present);
-        if (!peer)
+        auto selection = m_selector.selectHedge(selectionInput(*snapshot, present),
+            m_router.m_policy.maxHedgeQueueTime, m_router.m_hooks.random, present);
+        if (!selection)
             return;
         m_router.m_log.write(event_priority::failure, "hedged", id(),
             { { "first", m_attempts.front().peer->announcement.node.text() },
-                { "second", peer->announcement.node.text() },
+                { "second", selection->peer->announcement.node.text() },
                 { "waited", present - m_attempts.front().startedAt } });
         m_router.m_metrics.recordHedge();
-        send({ peer, m_router.m_policy.maxHedgeQueueTime }, present);
+        send(*selection, present);
     }
 
     void acquireToken(instant present)
@@ -265,7 +265,7 @@
             m_router.m_policy.quotaTimeout, [](const std::optional<quota_grant>&) {});
     }
 
-    /** Whether the next attempt may be a trial of a suspect server: a failure can be retried elsewhere. */
+    /** Whether the next attempt may be a trial of a server at risk: a failure can be retried elsewhere. */
     bool mayBeTrial() const
     {
         return isIdempotent() && m_possibleRunCount == 0 && m_context.rule->maxAttempts > 1;
@@ -319,7 +319,7 @@
         request.isNested = isNested();
         request.isRetry = m_isPartOfRetry || m_selector.hasReachedBackend();
         request.mayBeTrial = mayBeTrial();
-        request.suspectRule = selection.suspectRule;
+        request.maxFailureRisk = selection.maxFailureRisk;
         request.timeLeft = m_deadline - present;
         request.maxQueueTime = selection.maxQueueTime;
         request.fingerprint = m_context.fingerprint;
@@ -330,7 +330,8 @@
             { { "peer", peer->announcement.node.text() }, { "service", m_service.text() },
                 { "configuration", m_context.snapshot->routes->version }, { "attempt", m_attemptCount },
                 { "estimate", peer->estimatedResponseTime(present) }, { "patience", selection.maxQueueTime },
-                { "suspects", toText(selection.suspectRule) } });
+                { "risk_percent", percentOf(peer->failureRisk(present)) },
+                { "max_risk_percent", percentOf(selection.maxFailureRisk) } });
         auto call = m_router.m_forwarder.forward(
             peer, request, [self = handle<ingress_request>(this), peer](forward_reply reply) {
                 self->handleReply(peer, std::move(reply));
@@ -352,13 +353,12 @@
         std::erase_if(m_attempts, [&](const attempt& each) { return each.peer == peer; });
         if (reply.report.slots > 0)
             peer->applyReport(reply.report, present);
-        bool isSuspicion = !reply.response
+        bool isRefusedForRisk = !reply.response
             && reply.response.error().reason == refusal_reason::backendServerFailed
             && !reply.hasReachedBackend;
-        if (isSuspicion)
-            peer->markSuspect(
-                present + std::max(reply.avoidFor, suspectTrialDelay(nodeCount(), m_router.m_hooks.random)),
-                present);
+        if (isRefusedForRisk)
+            peer->deferTrial(
+                present + std::max(reply.avoidFor, suspectTrialDelay(nodeCount(), m_router.m_hooks.random)));
         else if (reply.avoidFor > duration::zero())
             peer->avoidUntil(present + reply.avoidFor);
         if (reply.hasReachedBackend)
