--- a/packages/decisions/src/core_types.h
+++ b/packages/decisions/src/core_types.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <compare>
 #include <cstdint>
 #include <functional>
@@ -34,7 +35,7 @@
 }
 
 /** \p ratio, which is not negative, in whole percent. */
-inline std::uint64_t percentOf(double ratio) { return static_cast<std::uint64_t>(ratio * 100 + 0.5); }
+inline std::uint64_t percentOf(double ratio) { return static_cast<std::uint64_t>(std::lround(ratio * 100)); }
 
 /** A point in time of the wall clock, as in idempotency keys and log records. */
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
