Try servers at risk with requests that must run once only when no other is idle

The trial loses the request if the server still fails.

The selection now says when a request may be a trial (trial_rule): requests that can be retried always, the others after a time without failures and from the short wait on. The node beside the server follows it, so that an entry that does not know of the risk makes no trial by accident. On a link the field 'trial' has the value 2 for it; nodes of earlier versions take it as 0.

--- a/packages/decisions/src/backend_selector.cpp
+++ b/packages/decisions/src/backend_selector.cpp
@@ -23,10 +23,25 @@
     const selection_input& view, bool includeUnhealthy, const choice_random_hook& random, instant now) const
 {
     return choosePeer(view.candidates, view.evacuated,
-        { m_ownDataCentre, m_tried, view.retryRule, preferredRisk(view), !m_hasBeenTrial, includeUnhealthy },
+        { m_ownDataCentre, m_tried, view.retryRule, preferredRisk(view),
+            m_hasBeenTrial ? trial_rule::never : trialRule(view), includeUnhealthy },
         m_policy.choice, random, now);
 }
 
+/** While other servers may be idle, there is no need to risk a request that a failure loses. */
+trial_rule backend_selector::trialRule(const selection_input& view) const
+{
+    if (view.retryRule == retry_rule::idempotent)
+        return trial_rule::always;
+    return m_stage == stage::idleSlot ? trial_rule::never : trial_rule::afterFailures;
+}
+
+backend_selection backend_selector::makeSelection(
+    handle<peer_state> peer, duration maxQueueTime, const selection_input& view) const
+{
+    return { std::move(peer), maxQueueTime, preferredRisk(view), trialRule(view) };
+}
+
 double backend_selector::preferredRisk(const selection_input& view) const
 {
     return (m_stage == stage::idleSlot ? m_policy.idleStageRisk : m_policy.preferredRisk).of(view.retryRule);
@@ -64,21 +79,24 @@
     switch (m_stage) {
     case stage::idleSlot:
         if (m_idleAttempts++ < m_policy.maxIdleAttempts)
-            return { choosePeerFor(view, false, random, now),
-                std::min(view.timeLeft, m_policy.maxIdleStageWait), preferredRisk(view) };
+            return makeSelection(choosePeerFor(view, false, random, now),
+                std::min(view.timeLeft, m_policy.maxIdleStageWait), view);
         return {};
     case stage::shortWait: {
         auto wait = maxWait(view, m_policy.shortWaitFraction);
         if (auto peer = takeShortestWait(view, wait, now))
-            return { peer, wait, preferredRisk(view) };
-        return { choosePeerFor(view, false, random, now), wait, preferredRisk(view) };
+            return makeSelection(peer, wait, view);
+        return makeSelection(choosePeerFor(view, false, random, now), wait, view);
+    }
+    case stage::atRisk: {
+        auto selection = makeSelection(
+            choosePeerFor(view, true, random, now), maxWait(view, m_policy.longWaitFraction), view);
+        selection.maxFailureRisk = lastResortRisk(view, now);
+        return selection;
     }
-    case stage::atRisk:
-        return { choosePeerFor(view, true, random, now), maxWait(view, m_policy.longWaitFraction),
-            lastResortRisk(view, now) };
     case stage::longWait: {
         auto wait = maxWait(view, m_policy.longWaitFraction);
-        return { takeShortestWait(view, wait, now), wait, preferredRisk(view) };
+        return makeSelection(takeShortestWait(view, wait, now), wait, view);
     }
     }
     return {};
@@ -117,7 +135,7 @@
     if (!peer)
         return std::nullopt;
     m_tried.push_back(peer->announcement.node);
-    return backend_selection { peer, maxQueueTime, preferredRisk(view) };
+    return makeSelection(peer, maxQueueTime, view);
 }
 
 void backend_selector::recordRefusal(const handle<peer_state>& peer, duration wait)
--- a/packages/decisions/src/backend_selector.h
+++ b/packages/decisions/src/backend_selector.h
@@ -53,6 +53,7 @@
     handle<peer_state> peer;
     duration maxQueueTime {}; ///< Maximum wait for a slot there.
     double maxFailureRisk = 0; ///< Of the backend server; trials are excepted.
+    trial_rule trialRule = trial_rule::never;
 };
 
 /** The selection for one request. Thread safety: one thread at a time. */
@@ -95,6 +96,9 @@
     handle<peer_state> choosePeerFor(const selection_input& view, bool includeUnhealthy,
         const choice_random_hook& random, instant now) const;
     double preferredRisk(const selection_input& view) const;
+    trial_rule trialRule(const selection_input& view) const;
+    backend_selection makeSelection(
+        handle<peer_state> peer, duration maxQueueTime, const selection_input& view) const;
     double lastResortRisk(const selection_input& view, instant now) const;
     handle<peer_state> takeShortestWait(const selection_input& view, duration maxWaitAllowed, instant now);
     backend_selection selectInStage(
--- a/packages/decisions/src/peer_choice.cpp
+++ b/packages/decisions/src/peer_choice.cpp
@@ -11,9 +11,10 @@
     /** Whether the request would be a trial of the backend server of \p peer. */
     bool isTrial(const peer_state& peer, const peer_choice_request& request, instant now)
     {
-        if (!request.mayBeTrial || peer.failureRisk(now) <= request.maxFailureRisk || !peer.isTrialDue(now))
+        if (peer.failureRisk(now) <= request.maxFailureRisk || !peer.isTrialDue(now))
             return false;
-        return request.retryRule == retry_rule::idempotent || peer.isRiskOutdated(now);
+        return request.trialRule == trial_rule::always
+            || (request.trialRule == trial_rule::afterFailures && peer.isRiskOutdated(now));
     }
 
     bool isEligible(const peer_state& peer, const std::set<data_centre_id>& evacuated,
@@ -77,7 +78,7 @@
         if (!isEligible(*peer, evacuated, request, now))
             continue;
         // Only requests that can be retried are sent to a server at risk in preference to others.
-        if (request.retryRule == retry_rule::idempotent && !request.includeUnhealthy
+        if (request.trialRule == trial_rule::always && !request.includeUnhealthy
             && isTrial(*peer, request, now))
             return peer;
         compared.push_back({ &peer, peer->meanLatency(now) });
--- a/packages/decisions/src/peer_choice.h
+++ b/packages/decisions/src/peer_choice.h
@@ -13,6 +13,14 @@
 /** Returns a uniformly distributed random number below its argument. Thread safety: one thread at a time. */
 using choice_random_hook = std::function<std::uint64_t(std::uint64_t below)>;
 
+/** When a request may be sent to a backend server at a higher risk than it accepts, to find out whether the
+ * server still fails. */
+enum class trial_rule {
+    never,
+    afterFailures, ///< After a time without a failure there: the request is lost if the server still fails.
+    always, ///< The request can be retried elsewhere.
+};
+
 struct peer_choice_policy {
     /** How much longer an answer may take in the own data centre before another one is preferred: traffic
      * between data centres has a price, time within the target latency does not. */
@@ -36,7 +44,7 @@
     std::span<const node_id> tried; ///< Nodes that must not be selected again.
     retry_rule retryRule = retry_rule::idempotent;
     double maxFailureRisk = 1; ///< Servers at a higher risk are left out, but for trials.
-    bool mayBeTrial = true; ///< Whether the request may be a trial of a server at a higher risk.
+    trial_rule trialRule = trial_rule::never; ///< For servers at a higher risk.
     bool includeUnhealthy = false; ///< Also avoided and unresponsive nodes, and servers at any risk.
 };
 
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -86,7 +86,9 @@
         return tl::unexpected(quarantineRefusal(request.request.fingerprint));
     if (m_healthCheck.failureRisk(now) <= request.request.maxFailureRisk)
         return {};
-    bool mayBeTrial = request.request.mayBeTrial || m_healthCheck.hasNoRecentFailure(now);
+    auto rule = request.request.trialRule;
+    bool mayBeTrial = rule == trial_rule::always
+        || (rule == trial_rule::afterFailures && m_healthCheck.hasNoRecentFailure(now));
     request.m_isTrial = mayBeTrial && m_healthCheck.tryStartTrial(now);
     if (request.m_isTrial)
         return {};
--- a/packages/proxy/src/forwarded_request.cpp
+++ b/packages/proxy/src/forwarded_request.cpp
@@ -15,6 +15,31 @@
         return static_cast<double>(message.number(name)) / 100;
     }
 
+    // Nodes of earlier versions send "0" and "1" only.
+    constexpr std::string_view trialAlways = "1";
+    constexpr std::string_view trialAfterFailures = "2";
+    constexpr std::string_view trialNever = "0";
+
+    std::string_view trialText(trial_rule rule)
+    {
+        switch (rule) {
+        case trial_rule::always:
+            return trialAlways;
+        case trial_rule::afterFailures:
+            return trialAfterFailures;
+        case trial_rule::never:
+            return trialNever;
+        }
+        return trialNever;
+    }
+
+    trial_rule trialRuleFromText(std::string_view text)
+    {
+        if (text == trialAlways)
+            return trial_rule::always;
+        return text == trialAfterFailures ? trial_rule::afterFailures : trial_rule::never;
+    }
+
     constexpr std::size_t unlimited = SIZE_MAX; // The size was limited where the message was received.
 
     std::optional<http_message> parseComplete(
@@ -44,7 +69,7 @@
         { "once", request.retryRule == retry_rule::once ? "1" : "0" },
         { "nested", request.isNested ? "1" : "0" },
         { "repeat", request.isRetry ? "1" : "0" },
-        { "trial", request.mayBeTrial ? "1" : "0" },
+        { "trial", std::string(trialText(request.trialRule)) },
         { "max-risk-percent", percentText(request.maxFailureRisk) },
         { "time-left", timeFieldText(request.timeLeft) },
         { "patience", timeFieldText(request.maxQueueTime) },
@@ -68,10 +93,7 @@
     request.retryRule = message.value("once") == "0" ? retry_rule::idempotent : retry_rule::once;
     request.isNested = message.value("nested") == "1";
     request.isRetry = message.value("repeat") == "1";
-    // Nodes of earlier versions do not send the field; they let every request that may be repeated be a
-    // trial.
-    auto trial = message.value("trial");
-    request.mayBeTrial = trial.empty() ? request.retryRule == retry_rule::idempotent : trial == "1";
+    request.trialRule = trialRuleFromText(message.value("trial"));
     if (!message.value("max-risk-percent").empty())
         request.maxFailureRisk = readPercent(message, "max-risk-percent");
     request.timeLeft = message.time("time-left");
--- a/packages/proxy/src/forwarded_request.h
+++ b/packages/proxy/src/forwarded_request.h
@@ -6,8 +6,8 @@
 
 #include "crash_quarantine.h"
 #include "http_message.h"
+#include "peer_choice.h"
 #include "peer_link.h"
-#include "peer_state.h"
 #include "request_error.h"
 
 namespace pomelohub {
@@ -27,10 +27,7 @@
     /** Another backend server has received the request before, or it is a nested call that is counted as part
      * of a retry. */
     bool isRetry = false;
-    /** Whether it may be the trial of a backend server at a higher risk: if it fails, another one can be
-     * tried.
-     */
-    bool mayBeTrial = false;
+    trial_rule trialRule = trial_rule::never; ///< For a backend server at a higher risk.
     double maxFailureRisk = defaultMaxFailureRisk; ///< A server at a higher risk refuses it, but for trials.
     duration timeLeft {}; ///< Time until the deadline of the sender.
     duration maxQueueTime {}; ///< Maximum wait for a slot; the request is refused if it would wait longer.
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -265,8 +265,8 @@
             m_router.m_policy.quotaTimeout, [](const std::optional<quota_grant>&) {});
     }
 
-    /** Whether the next attempt may be a trial of a server at risk: a failure can be retried elsewhere. */
-    bool mayBeTrial() const
+    /** Whether a failure of the next attempt can be retried elsewhere. */
+    bool isNextAttemptRetriable() const
     {
         return isIdempotent() && m_possibleRunCount == 0 && m_context.rule->maxAttempts > 1;
     }
@@ -278,7 +278,8 @@
         std::span<const handle<peer_state>> candidates;
         if (found != snapshot.services.end())
             candidates = found->second;
-        return { candidates, snapshot.evacuated, mayBeTrial() ? retry_rule::idempotent : retry_rule::once,
+        return { candidates, snapshot.evacuated,
+            isNextAttemptRetriable() ? retry_rule::idempotent : retry_rule::once,
             m_context.rule->targetLatency, m_deadline - present };
     }
 
@@ -318,7 +319,7 @@
         request.retryRule = m_context.rule->retryRule;
         request.isNested = isNested();
         request.isRetry = m_isPartOfRetry || m_selector.hasReachedBackend();
-        request.mayBeTrial = mayBeTrial();
+        request.trialRule = selection.trialRule;
         request.maxFailureRisk = selection.maxFailureRisk;
         request.timeLeft = m_deadline - present;
         request.maxQueueTime = selection.maxQueueTime;
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -462,7 +462,7 @@
     auto lastAttempt = fixture.make(retry_rule::idempotent);
     checkNotRun(fixture.submit(lastAttempt), refusal_reason::backendServerFailed);
     auto firstAttempt = fixture.make(retry_rule::idempotent);
-    firstAttempt->request.mayBeTrial = true;
+    firstAttempt->request.trialRule = trial_rule::always;
     CHECK(fixture.submit(firstAttempt).response);
 }
 
--- a/test/proxy/backend_search.cpp
+++ b/test/proxy/backend_search.cpp
@@ -99,6 +99,20 @@
     }
 }
 
+TEST_CASE("A request that must run once is no trial while other servers may be idle")
+{
+    search_fixture fixture;
+    std::vector<trial_rule> rules;
+    for (auto step = fixture.next(); step && rules.size() < 4; step = fixture.next()) {
+        rules.push_back(step->trialRule);
+        fixture.search.recordRefusal(step->peer, 100ms);
+    }
+    REQUIRE(rules.size() == 4);
+    CHECK(rules.front() == trial_rule::never);
+    CHECK(rules.back() == trial_rule::afterFailures);
+    CHECK(search_fixture().next(retry_rule::idempotent)->trialRule == trial_rule::always);
+}
+
 TEST_CASE("Servers at risk come before a wait that makes the answer late, and that before giving up")
 {
     search_fixture fixture;
@@ -263,7 +277,8 @@
         auto& at = *request->at;
         request->maxFailureRisk = step->maxFailureRisk;
         bool isAtRisk = at.judge.failureRisk(now) > step->maxFailureRisk;
-        if (isAtRisk && !(at.judge.hasNoRecentFailure(now) && at.judge.tryStartTrial(now))) {
+        bool mayBeTrial = step->trialRule == trial_rule::afterFailures && at.judge.hasNoRecentFailure(now);
+        if (isAtRisk && !(mayBeTrial && at.judge.tryStartTrial(now))) {
             at.peer->deferTrial(now + 200ms);
             report(at, now);
             refused(request, notRun(refusal_reason::backendServerFailed, "").value());
--- a/test/proxy/peer_choice.cpp
+++ b/test/proxy/peer_choice.cpp
@@ -31,6 +31,7 @@
     std::set<data_centre_id> evacuated;
     std::vector<node_id> tried;
     std::uint64_t seed = 1;
+    trial_rule onceTrials = trial_rule::afterFailures;
 
     std::string choose(retry_rule repeats, bool includeUnhealthy = false, instant now = start)
     {
@@ -46,7 +47,9 @@
             return (seed >> 33) % below;
         };
         auto chosen = choosePeer(peers, evacuated,
-            { near, tried, repeats, maxFailureRisk, true, includeUnhealthy }, {}, random, now);
+            { near, tried, repeats, maxFailureRisk,
+                repeats == retry_rule::idempotent ? trial_rule::always : onceTrials, includeUnhealthy },
+            {}, random, now);
         return chosen ? chosen->announcement.node.text() : "";
     }
 };
--- a/test/proxy/peer_link.cpp
+++ b/test/proxy/peer_link.cpp
@@ -250,11 +250,16 @@
     CHECK(read->timeLeft == 1500ms);
     CHECK(read->fingerprint == request.fingerprint);
     CHECK(decodeRequestPayload(message.payload.append(message.body))->body == "body");
-    CHECK_FALSE(read->mayBeTrial);
+    CHECK(read->trialRule == trial_rule::never);
     request.retryRule = retry_rule::idempotent;
-    CHECK_FALSE(decodeForwardedFields(encodeForwardedRequest(request))->mayBeTrial);
-    request.mayBeTrial = true;
-    CHECK(decodeForwardedFields(encodeForwardedRequest(request))->mayBeTrial);
+    for (auto rule : { trial_rule::never, trial_rule::afterFailures, trial_rule::always }) {
+        request.trialRule = rule;
+        request.maxFailureRisk = 0.35;
+        auto decoded = decodeForwardedFields(encodeForwardedRequest(request));
+        REQUIRE(decoded);
+        CHECK(decoded->trialRule == rule);
+        CHECK(decoded->maxFailureRisk == doctest::Approx(0.35));
+    }
     CHECK_FALSE(decodeForwardedFields({}));
     CHECK_FALSE(decodeRequestPayload("cut"));
 
