--- a/packages/decisions/src/passive_health_check.cpp
+++ b/packages/decisions/src/passive_health_check.cpp
@@ -43,8 +43,8 @@
     auto totalRate = partialRate + fullRate + recoveryRate;
     auto seconds = std::max(0.0, secondsOf(now - m_updatedAt));
     auto sum = m_belief.partial + m_belief.full;
-    // The probability of being sound relaxes at the total rate; what leaves it is split by the rates of
-    // failure.
+    // The two kinds of failure end at the same rate, so their sum has a closed form; the failures that have
+    // begun since are split by the rates at which each kind begins.
     auto failingLimit = (partialRate + fullRate) / totalRate;
     auto failing = failingLimit + (sum - failingLimit) * std::exp(-totalRate * seconds);
     auto kept = std::exp(-recoveryRate * seconds);
