Let settings say which routes tolerate queueing, and forward the kind of a request

Cause: a gateway can't tell requests of one kind from others, and nothing says which callers can wait for room. Change: the settings object queueing names the target latency from which a route tolerates queueing and the number of parallel offers; forwarded requests carry their kind and whether their route tolerates queueing; a refusal reason for a called service without room. Nothing uses them yet.

--- a/packages/decisions/src/request_error.cpp
+++ b/packages/decisions/src/request_error.cpp
@@ -39,6 +39,7 @@
         reason_entry { refusal_reason::pathFailed, "path-failed", 502 },
         reason_entry { refusal_reason::cancelled, "cancelled", 499 },
         reason_entry { refusal_reason::memoryExhausted, "memory-exhausted", 503 },
+        reason_entry { refusal_reason::calledServiceBusy, "called-service-busy", 503 },
     };
 
     const reason_entry& entryOf(refusal_reason reason)
--- a/packages/decisions/src/request_error.h
+++ b/packages/decisions/src/request_error.h
@@ -46,6 +46,7 @@
     pathFailed,
     cancelled,
     memoryExhausted,
+    calledServiceBusy, ///< A service that the run would call has no room.
 };
 
 /** Why a request was refused, and what its caller needs to know to retry it. */
--- a/packages/decisions/src/routing_table.cpp
+++ b/packages/decisions/src/routing_table.cpp
@@ -24,6 +24,11 @@
 
 } // namespace
 
+request_kind requestKindOf(const service_id& service, const routing_rule& rule)
+{
+    return std::max<request_kind>(1, stableHash(service.text() + '\n' + rule.name));
+}
+
 const service_id& routing_rule::nextService() const
 {
     if (services.size() == 1)
--- a/packages/decisions/src/routing_table.h
+++ b/packages/decisions/src/routing_table.h
@@ -21,6 +21,9 @@
     once, ///< Must not be sent again once a backend server may have run it.
 };
 
+/** Hash of a service and the name of a route: requests of one kind make similar work. */
+using request_kind = std::uint64_t;
+
 /** One of the services of a route, with its weight in the traffic split. */
 struct weighted_service {
     service_id service;
@@ -48,6 +51,9 @@
     mutable std::atomic<std::uint64_t> requestCount { 0 }; ///< Requests so far, for nextService().
 };
 
+/** The kind of the requests of \p rule that go to \p service; the same on all nodes, never 0. */
+request_kind requestKindOf(const service_id& service, const routing_rule& rule);
+
 /** The rate limit of an organisation over all nodes, and its rank. */
 struct organisation_limits : ref_counted<organisation_limits> {
     organisation_id id;
--- a/packages/proxy/src/forwarded_request.cpp
+++ b/packages/proxy/src/forwarded_request.cpp
@@ -74,6 +74,8 @@
         { "time-left", timeFieldText(request.timeLeft) },
         { "patience", timeFieldText(request.maxQueueTime) },
         { "fingerprint", toFieldText(request.fingerprint) },
+        { "kind", toFieldText(request.kind) },
+        { "queueing", request.toleratesQueueing ? "1" : "0" },
     };
     message.payload = serializeRequestHead(request.message);
     message.body = request.message.body;
@@ -99,6 +101,8 @@
     request.timeLeft = message.time("time-left");
     request.maxQueueTime = message.time("patience");
     request.fingerprint = message.number("fingerprint");
+    request.kind = message.number("kind");
+    request.toleratesQueueing = message.value("queueing") == "1";
     return request;
 }
 
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -324,6 +324,8 @@
         request.timeLeft = m_deadline - present;
         request.maxQueueTime = selection.maxQueueTime;
         request.fingerprint = m_context.fingerprint;
+        request.toleratesQueueing = m_router.m_policy.queueing.toleratesQueueing(*m_context.rule);
+        request.kind = requestKindOf(m_service, *m_context.rule);
         request.message = m_context.message;
         ++m_possibleRunCount;
         ++m_attemptCount;
--- a/packages/proxy/src/ingress_router.h
+++ b/packages/proxy/src/ingress_router.h
@@ -10,6 +10,7 @@
 #include "http_server.h"
 #include "peer_forwarder.h"
 #include "proxy_metrics.h"
+#include "queueing_settings.h"
 #include "rate_quota.h"
 #include "service_retry_budget.h"
 
@@ -50,6 +51,7 @@
     /** A stopping node refuses new requests if less than this is left to its drain deadline, as most of them
      * would not get a response. */
     duration minTimeUntilStop = std::chrono::milliseconds(2500);
+    queueing_settings queueing;
     service_retry_limits retryLimits; ///< Limits of the retry budget of each service.
 };
 
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -164,6 +164,7 @@
         m_workers.push_back(std::make_unique<worker>(*this));
     ingress_policy ingressPolicy;
     ingressPolicy.retryLimits = m_settings.retries;
+    ingressPolicy.queueing = m_settings.queueing;
     for (const auto& each : m_workers) {
         auto* requester = each.get();
         each->router
--- a/packages/proxy/src/proxy_settings.cpp
+++ b/packages/proxy/src/proxy_settings.cpp
@@ -14,6 +14,7 @@
     constexpr number_range shareRange { 0, 1 };
     constexpr number_range reserveRange { 0, 1e6 };
     constexpr number_range windowRange { 0.1, 3600 };
+    constexpr number_range parallelOffersRange { 1, 8 };
 
     std::string readEndpoint(checked_object& object, const std::string& name, bool isRequired = true)
     {
@@ -45,6 +46,15 @@
         object.rejectUnknownFields();
     }
 
+    void readQueueing(checked_object object, proxy_settings& settings)
+    {
+        auto& queueing = settings.queueing;
+        queueing.minTargetLatency = durationOf(object.number("min_target_latency_s", windowRange));
+        queueing.parallelOffers = static_cast<std::uint32_t>(
+            object.integer("parallel_offers", parallelOffersRange, queueing.parallelOffers));
+        object.rejectUnknownFields();
+    }
+
 } // namespace
 
 proxy_settings readProxySettings(const std::string& text, std::vector<field_error>& errors)
@@ -72,6 +82,8 @@
             << 20;
         settings.gracePeriod = durationOf(root.number("grace_s", graceRange, 6));
         readRetries(root.object("retries", false), settings);
+        if (root.has("queueing"))
+            readQueueing(root.object("queueing"), settings);
         root.rejectUnknownFields();
     }
     errors.insert(errors.end(), document.errors().begin(), document.errors().end());
--- a/packages/proxy/src/proxy_settings.h
+++ b/packages/proxy/src/proxy_settings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "checked_json.h"
+#include "queueing_settings.h"
 #include "service_retry_budget.h"
 
 namespace pomelohub {
@@ -26,6 +27,7 @@
     std::uint32_t threadCount = 1; ///< Number of threads that serve requests.
     std::size_t maxConnections = 3000; ///< Limit on connections from callers.
     service_retry_limits retries;
+    queueing_settings queueing;
     std::size_t memoryBytes = 160 << 20; ///< That the process may use.
     duration gracePeriod {}; ///< From the signal to stop until the process is killed.
 };
--- a/test/proxy/proxy_settings.cpp
+++ b/test/proxy/proxy_settings.cpp
@@ -10,11 +10,12 @@
 namespace {
 
 struct read_result {
-    explicit read_result(const std::string& listenFields)
+    explicit read_result(const std::string& listenFields, const std::string& rootFields = "")
         : settings(readProxySettings(R"({ "node": "n", "data_centre": "z", "service": "s", "listen": {
             "callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "backend_calls": "127.0.0.1:3",
             "readiness": "127.0.0.1:4")"
-                + listenFields + R"( }, "backend_server": "127.0.0.1:5", "store": "127.0.0.1:6" })",
+                + listenFields + R"( }, "backend_server": "127.0.0.1:5", "store": "127.0.0.1:6")" + rootFields
+                + " }",
             errors))
     {
     }
@@ -36,3 +37,23 @@
     CHECK(mapped.settings.announcedPeersEndpoint == "127.0.0.9:7");
     CHECK(read_result(R"(, "peers_announced": "nowhere")").errors.size() == 1);
 }
+
+// Guards against a deployment that does not ask for queueing getting it.
+TEST_CASE("No route tolerates queueing unless the settings name the target latency from which routes do")
+{
+    routing_rule rule;
+    rule.targetLatency = std::chrono::hours(1);
+    read_result usual("");
+    REQUIRE(usual.errors.empty());
+    CHECK(!usual.settings.queueing.toleratesQueueing(rule));
+    read_result queueing("", R"(, "queueing": { "min_target_latency_s": 4, "parallel_offers": 2 })");
+    REQUIRE(queueing.errors.empty());
+    rule.targetLatency = std::chrono::seconds(4);
+    CHECK(queueing.settings.queueing.toleratesQueueing(rule));
+    rule.targetLatency = std::chrono::milliseconds(3999);
+    CHECK(!queueing.settings.queueing.toleratesQueueing(rule));
+    CHECK(read_result("", R"(, "queueing": { "parallel_offers": 2 })").errors.size() == 1);
+    CHECK(
+        read_result("", R"(, "queueing": { "min_target_latency_s": 4, "parallel_offers": 0 })").errors.size()
+        == 1);
+}
