Place requests that tolerate queueing by offers in several queues

Change: such a request waits in the queues of two servers at once, further ones are added while none grants a slot, and the first grant takes it (offer_race); the others are cancelled, unrun. A queue counts a request that waits elsewhere, too, by its share. Large bodies leave their data centre for longer waits only. Off unless the settings ask for it.

--- a/packages/decisions/src/admission_queue.cpp
+++ b/packages/decisions/src/admission_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace pomelohub {
 
@@ -23,19 +24,24 @@
     return total;
 }
 
-std::size_t admission_queue::waitingBefore(std::uint32_t rank) const
+double admission_queue::expectedStarts() const
 {
-    std::size_t total = 0;
+    return expectedStartsBefore(std::numeric_limits<std::uint32_t>::max());
+}
+
+double admission_queue::expectedStartsBefore(std::uint32_t rank) const
+{
+    double total = 0;
     for (const auto& [queuedRank, queue] : m_ranks) {
         if (queuedRank <= rank)
-            total += queue.size();
+            total += queue.expectedStarts();
     }
     return total;
 }
 
 duration admission_queue::estimatedWait(std::uint32_t rank, instant now) const
 {
-    auto requestsAhead = static_cast<double>(waitingBefore(rank));
+    auto requestsAhead = expectedStartsBefore(rank);
     duration wait {};
     if (m_slotsInUse >= m_slots || requestsAhead > 0)
         wait = scaled(m_meanLatency, (requestsAhead + 1) / std::max(1U, m_slots));
--- a/packages/decisions/src/admission_queue.h
+++ b/packages/decisions/src/admission_queue.h
@@ -84,6 +84,9 @@
     std::optional<instant> nextStartTime(instant now) const;
 
     std::size_t waitingCount() const;
+
+    /** Number of the waiting requests that are expected to start here rather than in another queue. */
+    double expectedStarts() const;
     std::uint32_t inUse() const { return m_slotsInUse; }
     std::uint32_t slots() const { return m_slots; }
     duration meanLatency() const { return m_meanLatency; }
@@ -96,7 +99,7 @@
 private:
     void expire(instant now);
     void refuseExpired(handle<queued_request> request);
-    std::size_t waitingBefore(std::uint32_t rank) const;
+    double expectedStartsBefore(std::uint32_t rank) const;
     bool mayStart(instant now);
 
     admission_policy m_policy;
--- a/packages/decisions/src/backend_selector.h
+++ b/packages/decisions/src/backend_selector.h
@@ -75,6 +75,9 @@
      * the peer for a slot, or zero where waiting would not help. */
     void recordRefusal(const handle<peer_state>& peer, duration wait);
 
+    /** Notes that \p node has the request, so that no hedge is sent there. */
+    void recordTried(const node_id& node) { m_tried.push_back(node); }
+
     /** Notes that the backend server of \p node received the request; it is not selected again. */
     void recordReached(const node_id& node);
 
--- a/packages/decisions/src/fair_queue.cpp
+++ b/packages/decisions/src/fair_queue.cpp
@@ -1,9 +1,16 @@
 #include "fair_queue.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace pomelohub {
 
+namespace {
+
+    double startShare(const queued_request& request) { return 1.0 / std::max(1U, request.parallelOffers); }
+
+} // namespace
+
 fair_queue::fair_queue(std::size_t capacity)
     : m_capacity(capacity)
 {
@@ -29,6 +36,7 @@
 {
     auto& queue = queueFor(request->organisation);
     queue.requests.push_back(*request);
+    m_expectedStarts += startShare(*request);
     request.detach(); // The queue owns this reference until the request is removed.
     if (++m_size <= m_capacity)
         return nullptr;
@@ -49,7 +57,7 @@
 {
     handle<queued_request> removed(&from.requests.front(), false);
     from.requests.pop_front();
-    --m_size;
+    recordRemoval(*removed);
     removeIfEmpty(from);
     return removed;
 }
@@ -58,11 +66,17 @@
 {
     handle<queued_request> removed(&from.requests.back(), false);
     from.requests.pop_back();
-    --m_size;
+    recordRemoval(*removed);
     removeIfEmpty(from);
     return removed;
 }
 
+void fair_queue::recordRemoval(const queued_request& removed)
+{
+    --m_size;
+    m_expectedStarts -= startShare(removed);
+}
+
 void fair_queue::removeIfEmpty(organisation_queue& from)
 {
     if (!from.requests.empty())
@@ -113,7 +127,7 @@
     auto& queue = m_queues.at(request.organisation);
     handle<queued_request> held(&request, false);
     queue.requests.erase(queue.requests.iterator_to(request));
-    --m_size;
+    recordRemoval(request);
     removeIfEmpty(queue);
     return true;
 }
--- a/packages/decisions/src/fair_queue.h
+++ b/packages/decisions/src/fair_queue.h
@@ -17,6 +17,8 @@
     organisation_id organisation; ///< Empty for requests on routes that need no key.
     instant deadline {};
     std::uint32_t rank = 0; ///< Set by admission_queue, which serves lower ranks first.
+    /** In how many queues the request waits at once; it starts in one of them. */
+    std::uint32_t parallelOffers = 1;
 
     virtual ~queued_request() = default;
 };
@@ -51,6 +53,9 @@
 
     std::size_t size() const { return m_size; }
 
+    /** Number of the queued requests that are expected to start here. */
+    double expectedStarts() const { return m_size > 0 ? m_expectedStarts : 0; }
+
 private:
     struct organisation_queue : boost::intrusive::list_base_hook<> {
         organisation_id organisation;
@@ -61,10 +66,12 @@
     organisation_queue* longestQueue();
     handle<queued_request> takeFront(organisation_queue& from);
     handle<queued_request> takeBack(organisation_queue& from);
+    void recordRemoval(const queued_request& removed);
     void removeIfEmpty(organisation_queue& from);
 
     std::size_t m_capacity;
     std::size_t m_size = 0;
+    double m_expectedStarts = 0;
     std::unordered_map<organisation_id, organisation_queue> m_queues;
     boost::intrusive::list<organisation_queue>
         m_roundRobin; ///< Organisations with requests, the next one to serve first.
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -1,6 +1,7 @@
 #include "backend_gateway.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pomelohub {
 
@@ -54,6 +55,7 @@
 {
     for (const auto& request : m_activeRequests) {
         request->onReply = nullptr;
+        request->onGranted = nullptr;
         if (request->m_connection)
             request->m_connection->cancel();
     }
@@ -119,6 +121,7 @@
 {
     auto now = m_hooks.clock().monotonic;
     request->organisation = request->request.organisation;
+    request->parallelOffers = request->request.parallelOffers;
     request->m_deadline = now + request->request.timeLeft;
     auto admitted = checkAdmission(*request, now);
     if (admitted) {
@@ -630,9 +633,9 @@
 backend_report backend_gateway::report() const
 {
     auto now = m_hooks.clock().monotonic;
-    return { m_queue.inUse(), static_cast<std::uint32_t>(m_queue.waitingCount()), m_queue.usableSlots(now),
-        m_queue.meanLatency(), m_healthCheck.failureRisk(now), m_identity.isCold(now),
-        m_healthCheck.isSuspect(), m_healthCheck.observedFailureRatio() };
+    return { m_queue.inUse(), static_cast<std::uint32_t>(std::ceil(m_queue.expectedStarts())),
+        m_queue.usableSlots(now), m_queue.meanLatency(), m_healthCheck.failureRisk(now),
+        m_identity.isCold(now), m_healthCheck.isSuspect(), m_healthCheck.observedFailureRatio() };
 }
 
 void backend_gateway::updateRetryShare()
--- a/packages/proxy/src/forwarded_request.cpp
+++ b/packages/proxy/src/forwarded_request.cpp
@@ -74,7 +74,8 @@
         { "time-left", timeFieldText(request.timeLeft) },
         { "patience", timeFieldText(request.maxQueueTime) },
         { "fingerprint", toFieldText(request.fingerprint) },
-        { "kind", toFieldText(request.kind) },
+        { "request-kind", toFieldText(request.kind) },
+        { "offers", toFieldText(request.parallelOffers) },
         { "queueing", request.toleratesQueueing ? "1" : "0" },
     };
     message.payload = serializeRequestHead(request.message);
@@ -101,7 +102,10 @@
     request.timeLeft = message.time("time-left");
     request.maxQueueTime = message.time("patience");
     request.fingerprint = message.number("fingerprint");
-    request.kind = message.number("kind");
+    request.kind = message.number("request-kind");
+    constexpr std::uint64_t maxParallelOffers = 64;
+    request.parallelOffers = static_cast<std::uint32_t>(
+        std::clamp<std::uint64_t>(message.number("offers"), 1, maxParallelOffers));
     request.toleratesQueueing = message.value("queueing") == "1";
     return request;
 }
--- a/packages/proxy/src/forwarded_request.h
+++ b/packages/proxy/src/forwarded_request.h
@@ -32,6 +32,8 @@
     duration timeLeft {}; ///< Time until the deadline of the sender.
     duration maxQueueTime {}; ///< Maximum wait for a slot; the request is refused if it would wait longer.
     request_fingerprint fingerprint = 0;
+    /** In how many queues the request waits at once. If more than one, it is sent as an offer. */
+    std::uint32_t parallelOffers = 1;
     bool toleratesQueueing = false; ///< Of its route, by the settings of the sender.
     request_kind kind = 0; ///< 0 if the sender, a node of an earlier version, names none.
     http_message message;
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -61,6 +61,10 @@
             refuse(passed.error(), refusedBy);
             return;
         }
+        const auto& queueing = m_router.m_policy.queueing;
+        m_toleratesQueueing = queueing.toleratesQueueing(*m_context.rule);
+        if (m_toleratesQueueing && queueing.parallelOffers > 1)
+            m_race.emplace(m_router.m_policy.race, m_router.m_dataCentre);
         startTimer(now.monotonic);
         m_isAdmitted = true;
         acquireToken(now.monotonic);
@@ -70,7 +74,8 @@
     struct attempt {
         handle<peer_state> peer;
         handle<forward_call> call;
-        instant startedAt {};
+        instant startedAt {}; ///< When it was sent, or its offer was granted.
+        bool isOffer = false; ///< One of several offers, none of which has been taken yet.
     };
 
     instant now() const { return m_router.m_hooks.clock().monotonic; }
@@ -126,17 +131,16 @@
         for (const auto& each : m_attempts) {
             if (each.call->isUnresponsive() && !each.call->isCommitted())
                 cancelledCalls.push_back(each.call);
+            if (each.isOffer)
+                continue;
             auto hedgeDelay = std::max(
                 scaled(m_context.rule->targetLatency, m_router.m_policy.hedgeTargetLatencyFraction),
                 scaled(each.peer->estimatedResponseTime(present), m_router.m_policy.hedgeLatencyFactor));
             needsHedge = needsHedge || each.call->isUnresponsive() || present - each.startedAt > hedgeDelay;
         }
-        for (const auto& call : cancelledCalls) {
-            call->cancel();
-            --m_possibleRunCount;
-            std::erase_if(m_attempts, [&](const attempt& each) { return each.call == call; });
-        }
-        if (m_attempts.empty() && !m_isWaitingForTokens) {
+        for (const auto& call : cancelledCalls)
+            withdraw(call);
+        if ((m_attempts.empty() || isAwaitingGrant()) && !m_isWaitingForTokens) {
             sendNextAttempt(present);
             return;
         }
@@ -149,6 +153,19 @@
         }
     }
 
+    /** Cancels an attempt that is not committed. */
+    void withdraw(const handle<forward_call>& call)
+    {
+        auto found = std::find_if(
+            m_attempts.begin(), m_attempts.end(), [&](const attempt& each) { return each.call == call; });
+        if (found->isOffer)
+            m_race->recordLoss(found->peer->announcement.node);
+        else
+            --m_possibleRunCount;
+        m_attempts.erase(found);
+        call->cancel();
+    }
+
     void hedge(instant present)
     {
         if (m_attempts.size() != 1 || m_router.m_quarantine.isQuarantined(m_context.fingerprint, present))
@@ -292,6 +309,17 @@
         }
         // The set of peers may have changed since the request arrived, so the current snapshot is used.
         auto snapshot = m_router.m_hooks.snapshot();
+        if (m_race) {
+            sendOffers(*snapshot, present);
+            if (!m_attempts.empty())
+                return;
+            if (m_race->wasRefused()) {
+                finishWithBestResult("race");
+                return;
+            }
+            // No server is likely sound: the selection knows when to send a request to one at risk.
+            m_race.reset();
+        }
         if (auto selection
             = m_selector.select(selectionInput(*snapshot, present), m_router.m_hooks.random, present))
             send(*selection, present);
@@ -299,6 +327,50 @@
             finishWithBestResult("choice");
     }
 
+    /** Whether the request waits in several queues, none of which has granted a slot yet. */
+    bool isAwaitingGrant() const { return m_race && !m_race->isCommitted(); }
+
+    /** Offers the request to further servers as far as its race allows. */
+    void sendOffers(const fleet_snapshot& snapshot, instant present)
+    {
+        offer_input input { selectionInput(snapshot, present), present - m_responder->receivedAt(),
+            m_context.message.body.size() };
+        while (auto selection = m_race->next(input, m_router.m_hooks.random, present))
+            send(*selection, present);
+    }
+
+    /** Decides whether the request takes the slot that \p peer has granted. The other offers end then. */
+    bool handleGrant(const handle<peer_state>& peer)
+    {
+        if (m_isDone || !m_race)
+            return false;
+        auto present = now();
+        const auto& node = peer->announcement.node;
+        bool isTaken = m_race->tryCommit(node);
+        std::vector<handle<forward_call>> losers;
+        for (auto& each : m_attempts) {
+            if (!each.isOffer)
+                continue;
+            if (each.peer == peer && isTaken) {
+                each.isOffer = false;
+                each.startedAt = present;
+            } else if (each.peer == peer || isTaken) {
+                losers.push_back(each.call);
+            }
+        }
+        std::erase_if(m_attempts, [](const attempt& each) { return each.isOffer; });
+        for (const auto& each : losers)
+            each->cancel();
+        if (!isTaken)
+            return false;
+        ++m_possibleRunCount;
+        m_selector.recordTried(node);
+        m_router.m_log.write(event_priority::routine, "offer_taken", id(),
+            { { "peer", node.text() }, { "waited", present - m_responder->receivedAt() },
+                { "offers", m_attemptCount }, { "cancelled", static_cast<std::uint64_t>(losers.size()) } });
+        return true;
+    }
+
     request_error withRetryAfter(request_error refusal) const
     {
         refusal.retryAfter = std::max<milliseconds>(
@@ -324,10 +396,13 @@
         request.timeLeft = m_deadline - present;
         request.maxQueueTime = selection.maxQueueTime;
         request.fingerprint = m_context.fingerprint;
-        request.toleratesQueueing = m_router.m_policy.queueing.toleratesQueueing(*m_context.rule);
+        request.toleratesQueueing = m_toleratesQueueing;
+        bool isOffer = isAwaitingGrant();
+        if (isOffer)
+            request.parallelOffers = m_router.m_policy.race.parallelOffers;
         request.kind = requestKindOf(m_service, *m_context.rule);
         request.message = m_context.message;
-        ++m_possibleRunCount;
+        m_possibleRunCount += isOffer ? 0 : 1;
         ++m_attemptCount;
         m_router.m_log.write(event_priority::routine, "sent", id(),
             { { "peer", peer->announcement.node.text() }, { "service", m_service.text() },
@@ -336,10 +411,12 @@
                 { "risk_percent", percentOf(peer->failureRisk(present)) },
                 { "max_risk_percent", percentOf(selection.maxFailureRisk) } });
         auto call = m_router.m_forwarder.forward(
-            peer, request, [self = handle<ingress_request>(this), peer](forward_reply reply) {
-                self->handleReply(peer, std::move(reply));
-            });
-        m_attempts.push_back({ peer, call, present });
+            peer, request,
+            [self = handle<ingress_request>(this), peer](
+                forward_reply reply) { self->handleReply(peer, std::move(reply)); },
+            isOffer ? [self = handle<ingress_request>(this), peer] { return self->handleGrant(peer); }
+                    : std::function<bool()>());
+        m_attempts.push_back({ peer, call, present, isOffer });
     }
 
     std::uint32_t rank() const
@@ -353,7 +430,13 @@
         if (m_isDone)
             return;
         auto present = now();
+        bool wasOffer = std::any_of(m_attempts.begin(), m_attempts.end(),
+            [&](const attempt& each) { return each.peer == peer && each.isOffer; });
         std::erase_if(m_attempts, [&](const attempt& each) { return each.peer == peer; });
+        if (wasOffer)
+            m_race->recordRefusal(peer->announcement.node);
+        else if (m_race && m_attempts.empty())
+            m_race->reopen();
         if (reply.report.slots > 0)
             peer->applyReport(reply.report, present);
         bool isRefusedForRisk = !reply.response
@@ -367,7 +450,7 @@
         if (reply.hasReachedBackend)
             m_selector.recordReached(peer->announcement.node);
         bool wasNotRun = !reply.response && reply.response.error().outcome == execution::notRun;
-        if (wasNotRun)
+        if (wasNotRun && !wasOffer)
             --m_possibleRunCount;
         if (reply.response)
             handleResponse(std::move(*reply.response));
@@ -471,7 +554,7 @@
         }
         bool isBusy = refusal.reason == refusal_reason::backendServerBusy;
         m_selector.recordRefusal(peer, isBusy ? refusal.retryAfter : duration::zero());
-        if (m_attempts.empty() && !m_isWaitingForTokens)
+        if ((m_attempts.empty() || isAwaitingGrant()) && !m_isWaitingForTokens)
             sendNextAttempt(present);
     }
 
@@ -552,6 +635,7 @@
     one_shot_timer m_timer;
     ingress_context m_context;
     backend_selector m_selector;
+    std::optional<offer_race> m_race; ///< Set while the request is placed by offers in several queues.
     service_id m_service;
     instant m_deadline {};
     std::vector<attempt> m_attempts;
@@ -560,6 +644,7 @@
     std::optional<request_error> m_lastRefusal;
     std::uint32_t m_possibleRunCount = 0; ///< Attempts whose backend server ran or may run the request.
     std::uint32_t m_attemptCount = 0;
+    bool m_toleratesQueueing = false;
     bool m_isPartOfRetry = false; ///< A nested call that is counted as part of a retry.
     bool m_isWaitingForTokens = false; ///< A request for tokens is pending.
     bool m_mayHaveRun = false;
--- a/packages/proxy/src/ingress_router.h
+++ b/packages/proxy/src/ingress_router.h
@@ -4,10 +4,10 @@
  */
 #pragma once
 
-#include "backend_selector.h"
 #include "filter_chain.h"
 #include "header_codec.h"
 #include "http_server.h"
+#include "offer_race.h"
 #include "peer_forwarder.h"
 #include "proxy_metrics.h"
 #include "queueing_settings.h"
@@ -35,6 +35,7 @@
 
 struct ingress_policy {
     backend_selector_policy selector;
+    offer_race_policy race; ///< For routes that tolerate queueing.
     duration maxHedgeQueueTime = std::chrono::milliseconds(250); ///< Maximum wait of a hedge for a slot.
     /** Left before the caller's timeout for sending the response; at most a tenth of that timeout. */
     duration responseMargin = std::chrono::milliseconds(30);
--- a/packages/proxy/src/peer_forwarder.cpp
+++ b/packages/proxy/src/peer_forwarder.cpp
@@ -37,6 +37,7 @@
     m_peer->inFlight.fetch_sub(1, std::memory_order_relaxed);
     m_peerCall = nullptr;
     m_link = nullptr;
+    m_onGranted = nullptr;
 }
 
 void forward_call::cancel()
@@ -53,11 +54,21 @@
     m_gatewayRequest = nullptr;
 }
 
-bool forward_call::isCommitted() const
+bool forward_call::isCommitted() const { return !m_isDone && m_isCommitted; }
+
+/** Asks whether the request takes the slot that was granted, and gives the slot back if not. */
+bool forward_call::takeGrant()
 {
-    if (m_peerCall)
-        return m_isSentWhole || m_peerCall->isPayloadCommitted();
-    return m_gatewayRequest != nullptr;
+    if (m_isDone)
+        return false;
+    auto onGranted = std::move(m_onGranted);
+    m_onGranted = nullptr;
+    if (onGranted && !onGranted()) {
+        cancel();
+        return false;
+    }
+    m_isCommitted = true;
+    return true;
 }
 
 bool forward_call::isUnresponsive() const
@@ -140,11 +151,12 @@
         each->isUnresponsive = false;
 }
 
-handle<forward_call> peer_forwarder::forward(
-    const handle<peer_state>& peer, const forwarded_request& request, reply_hook done)
+handle<forward_call> peer_forwarder::forward(const handle<peer_state>& peer, const forwarded_request& request,
+    reply_hook done, std::function<bool()> onGranted)
 {
     handle<forward_call> forwardCall(new forward_call);
     forwardCall->m_peer = peer;
+    forwardCall->m_onGranted = std::move(onGranted);
     peer->inFlight.fetch_add(1, std::memory_order_relaxed);
     if (m_hooks.gateway && peer->announcement.node == m_self)
         forwardLocally(forwardCall, request, std::move(done));
@@ -170,6 +182,16 @@
             done(std::move(reply));
         });
     };
+    gatewayRequest->hasPayload = request.parallelOffers <= 1;
+    forwardCall->m_isCommitted = gatewayRequest->hasPayload;
+    if (!gatewayRequest->hasPayload) {
+        gatewayRequest->onGranted = [this, forwardCall, raw = gatewayRequest.get()] {
+            asio::post(m_context, [this, forwardCall, held = handle<gateway_request>(raw)] {
+                if (forwardCall->takeGrant())
+                    m_hooks.gateway->commit(*held);
+            });
+        };
+    }
     m_hooks.gateway->submit(gatewayRequest);
 }
 
@@ -193,14 +215,15 @@
         });
         return;
     }
-    bool isOffer = request.retryRule == retry_rule::once;
+    bool isOffer = request.retryRule == retry_rule::once || request.parallelOffers > 1;
     bool isHead = request.message.method == "HEAD";
     forwardCall->m_link = link;
-    forwardCall->m_isSentWhole = !isOffer;
+    forwardCall->m_isCommitted = !isOffer;
     auto* rawPointer = forwardCall.get();
     forwardCall->m_peerCall = link->call(encodeForwardedRequest(request), isOffer,
         { [rawPointer] {
-             if (rawPointer->m_peerCall)
+             handle<forward_call> held(rawPointer);
+             if (rawPointer->m_peerCall && rawPointer->takeGrant())
                  rawPointer->m_peerCall->commit();
          },
             [this, forwardCall, done, isHead](peer_message&& message) {
--- a/packages/proxy/src/peer_forwarder.h
+++ b/packages/proxy/src/peer_forwarder.h
@@ -33,9 +33,12 @@
     backend_gateway* m_gateway = nullptr;
     handle<peer_state> m_peer;
     bool m_isDone = false;
-    bool m_isSentWhole = false; ///< Sent with its payload at once rather than as an offer.
+    /** Decides on a grant; unset if each grant is taken. */
+    std::function<bool()> m_onGranted;
+    bool m_isCommitted = false; ///< Sent with its payload at once, or its offer was granted and taken.
 
     void release();
+    bool takeGrant();
 };
 
 /** Thread safety: one thread, that of its execution context. */
@@ -55,11 +58,13 @@
     peer_forwarder(
         asio::io_context& context, node_id self, peer_link_policy policy, event_log& log, hooks hooks);
 
-    /** Sends \p request to \p peer. A request that must not run twice is sent as an offer, so that its
-     * payload leaves this node only after the peer has granted a slot. \p done is called once, after this
-     * function has returned, unless the call is cancelled. */
-    handle<forward_call> forward(
-        const handle<peer_state>& peer, const forwarded_request& request, reply_hook done);
+    /** Sends \p request to \p peer. A request that must not run twice, or that waits in several queues, is
+     * sent as an offer, so that its payload leaves this node only after the peer has granted a slot. \p done
+     * is called once, after this function has returned, unless the call is cancelled. \param onGranted is
+     * called at the grant of an offer that waits in several queues, after this function has returned; the
+     * call is cancelled if it returns false. */
+    handle<forward_call> forward(const handle<peer_state>& peer, const forwarded_request& request,
+        reply_hook done, std::function<bool()> onGranted = nullptr);
 
     /** Sends any other request to the node at \p endpoint. \p done gets nothing when no part of the reply has
      * arrived for \p timeout. */
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -165,6 +165,7 @@
     ingress_policy ingressPolicy;
     ingressPolicy.retryLimits = m_settings.retries;
     ingressPolicy.queueing = m_settings.queueing;
+    ingressPolicy.race.parallelOffers = m_settings.queueing.parallelOffers;
     for (const auto& each : m_workers) {
         auto* requester = each.get();
         each->router
