Refuse requests whose runs would fail for lack of room at a service that they call

Change: the gateway learns which services the runs of a kind call and how often, and limits runs to the rate at which such calls find room (call_admission). A request beyond it is refused unrun, with a time to come back.

--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -307,6 +307,11 @@
             finishWithBestResult("quarantine");
             return;
         }
+        if (m_isCalledServiceBusy) {
+            if (m_attempts.empty())
+                finishWithBestResult("calls");
+            return;
+        }
         // The set of peers may have changed since the request arrived, so the current snapshot is used.
         auto snapshot = m_router.m_hooks.snapshot();
         if (m_race) {
@@ -552,6 +557,13 @@
                 finishWithBestResult("quarantine");
             return;
         }
+        if (refusal.reason == refusal_reason::calledServiceBusy) {
+            // Other servers of the service make the same calls, so no further one is asked.
+            m_isCalledServiceBusy = true;
+            if (m_attempts.empty())
+                finishWithBestResult("calls");
+            return;
+        }
         bool isBusy = refusal.reason == refusal_reason::backendServerBusy;
         m_selector.recordRefusal(peer, isBusy ? refusal.retryAfter : duration::zero());
         if ((m_attempts.empty() || isAwaitingGrant()) && !m_isWaitingForTokens)
@@ -568,8 +580,7 @@
             { { "status", message.status }, { "took", elapsed }, { "attempts", m_attemptCount },
                 { "route", m_context.rule->name } });
         m_router.m_metrics.recordResponse(message.status, elapsed);
-        if (message.status >= firstServerError)
-            reportFailure();
+        reportNestedCall(message.status >= firstServerError, false);
         finish();
         m_responder->respond(std::move(message));
     }
@@ -589,16 +600,21 @@
                                                                      : 0 },
                 { "retry_after", refusal.retryAfter } });
         m_router.m_metrics.recordRefusal(refusal.reason, status);
-        reportFailure();
+        bool hadNoRoom = refusal.outcome == execution::notRun
+            && (refusal.reason == refusal_reason::backendServerBusy
+                || refusal.reason == refusal_reason::backendServerShed
+                || refusal.reason == refusal_reason::calledServiceBusy
+                || refusal.reason == refusal_reason::deadlineExceeded);
+        reportNestedCall(true, hadNoRoom);
         finish();
         m_responder->respond(m_router.m_codec.makeRefusal(refusal, status));
     }
 
-    /** Reports a nested call that has failed, before the backend server that made it learns of it. */
-    void reportFailure()
+    /** Reports the end of a nested call, before the backend server that made it learns of it. */
+    void reportNestedCall(bool hasFailed, bool hadNoRoom)
     {
         if (m_isAdmitted && isNested())
-            m_router.m_hooks.onNestedCallFailed();
+            m_router.m_hooks.onNestedCallEnded({ m_service, hasFailed, hadNoRoom });
     }
 
     /** Names of the nodes that have been sent the request and have not replied. */
@@ -645,6 +661,7 @@
     std::uint32_t m_possibleRunCount = 0; ///< Attempts whose backend server ran or may run the request.
     std::uint32_t m_attemptCount = 0;
     bool m_toleratesQueueing = false;
+    bool m_isCalledServiceBusy = false; ///< A gateway has refused the request for the calls of its run.
     bool m_isPartOfRetry = false; ///< A nested call that is counted as part of a retry.
     bool m_isWaitingForTokens = false; ///< A request for tokens is pending.
     bool m_mayHaveRun = false;
