Take a response whose status is not one of three digits from 100 on for none

Cause: statuses 000 and 099 counted as interim responses, so that the caller waited until its deadline while the slot was held; 0200 was read as 200, and 101, which is never asked for, as interim. Change: the reader checks the status line itself, for responses of servers and of other nodes.

--- a/packages/proxy/src/http_reader.cpp
+++ b/packages/proxy/src/http_reader.cpp
@@ -8,6 +8,11 @@
 
     http_reader& readerOf(http_parser* parser) { return *static_cast<http_reader*>(parser->data); }
 
+    /** Length of "HTTP/1.1 200" and the byte after it. */
+    constexpr std::size_t statusLineStartBytes = 13;
+    constexpr int minStatus = 100;
+    constexpr int switchingProtocols = 101; // Never asked for.
+
     constexpr int skipBody
         = 1; // Returned to http_parser from on_headers_complete if the response has no body.
 
@@ -74,6 +79,8 @@
                 fail(http_read_error::malformed);
                 break;
             }
+            if (m_parser.type == HTTP_RESPONSE && m_statusLineStart.size() < statusLineStartBytes)
+                m_statusLineStart.append(part.substr(0, statusLineStartBytes - m_statusLineStart.size()));
             m_headBytes += part.size();
             if (m_headBytes > m_limits.maxHeaderBytes) {
                 fail(http_read_error::headersTooLarge);
@@ -180,6 +187,20 @@
     return m_parser.type == HTTP_RESPONSE || hosts == 1;
 }
 
+// http_parser accepts statuses with fewer or more than three digits.
+bool http_reader::isStatusLineWellFormed() const
+{
+    constexpr std::size_t statusAt = 9;
+    constexpr std::size_t statusEnd = 12;
+    if (m_statusLineStart.size() < statusLineStartBytes)
+        return false;
+    auto status = std::string_view(m_statusLineStart).substr(statusAt, statusEnd - statusAt);
+    bool hasOtherCharacters = status.find_first_not_of("0123456789") != std::string_view::npos;
+    auto next = m_statusLineStart[statusEnd];
+    return !hasOtherCharacters && (next == ' ' || next == '\r') && m_parser.status_code >= minStatus
+        && m_parser.status_code != switchingProtocols;
+}
+
 int http_reader::onHeadersComplete(http_parser* parser)
 {
     auto& reader = readerOf(parser);
@@ -195,6 +216,8 @@
             reader.m_hooks.onContinueExpected();
         return 0;
     }
+    if (!reader.isStatusLineWellFormed())
+        return reader.fail(http_read_error::malformed);
     reader.m_message.status = parser->status_code;
     return reader.m_hooks.isBodiless && reader.m_hooks.isBodiless() ? skipBody : 0;
 }
@@ -217,6 +240,7 @@
     reader.m_isInMessage = false;
     reader.m_isHeadComplete = false;
     reader.m_headBytes = 0;
+    reader.m_statusLineStart.clear();
     // Pause, so that the next message is parsed by a separate call and its headers are checked from the first
     // byte.
     http_parser_pause(parser, 1);
--- a/packages/proxy/src/http_reader.h
+++ b/packages/proxy/src/http_reader.h
@@ -79,6 +79,7 @@
 
     int fail(http_read_error error);
     bool isHeadWellFormed() const;
+    bool isStatusLineWellFormed() const;
     bool hasValidLineEnds(std::string_view bytes);
 
     http_parser m_parser {};
@@ -87,6 +88,7 @@
     http_message m_message;
     http_read_error m_error = http_read_error::none;
     std::size_t m_headBytes = 0;
+    std::string m_statusLineStart; ///< Of a response, up to the byte after its status.
     bool m_isInMessage = false;
     bool m_isHeadComplete = false;
     bool m_hasFieldValue = false;
--- a/test/proxy/http_reader.cpp
+++ b/test/proxy/http_reader.cpp
@@ -123,6 +123,49 @@
     CHECK(chunked.messages.empty());
 }
 
+// Guards against statuses that other readers of the response take for something else, and against a status
+// below 100 that counts as an interim response, after which the caller waits until its deadline.
+TEST_CASE("A response whose status is not one of three digits from 100 on is none")
+{
+    auto readStatus = [](std::string_view statusLine, std::size_t cut) {
+        auto text = std::string(statusLine) + "\r\nContent-Length: 2\r\n\r\nok";
+        reader_fixture fixture(HTTP_RESPONSE);
+        fixture.reader.read(text.substr(0, cut));
+        auto error = fixture.reader.read(text.substr(std::min(cut, text.size())));
+        CHECK(fixture.messages.size() == (error == http_read_error::none ? 1U : 0U));
+        return error;
+    };
+    for (std::size_t cut = 0; cut < 16; ++cut) {
+        for (const char* line :
+            { "HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 99 Trouble", "HTTP/1.1 0200 OK",
+                "HTTP/1.1 1000 Trouble", "HTTP/1.1 2000 OK", "HTTP/1.1 2xx OK", "HTTP/1.1 20x OK",
+                "HTTP/1.1 OK", "HTTP/1.1  OK", "HTTP/1.1", "HTTP/1.1 101 Switching Protocols" }) {
+            CAPTURE(line);
+            CAPTURE(cut);
+            CHECK(readStatus(line, cut) == http_read_error::malformed);
+        }
+        for (const char* line :
+            { "HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.0 999 ", "HTTP/1.1 503 No room" }) {
+            CAPTURE(line);
+            CAPTURE(cut);
+            CHECK(readStatus(line, cut) == http_read_error::none);
+        }
+    }
+}
+
+// Guards against bytes after a response without a body that are taken for its body or for another response.
+TEST_CASE("A response that has no body by its status ends with its head")
+{
+    for (const char* line : { "HTTP/1.1 204 No Content", "HTTP/1.1 304 Not Modified" }) {
+        reader_fixture fixture(HTTP_RESPONSE);
+        fixture.reader.read(std::string(line) + "\r\n\r\n");
+        REQUIRE(fixture.messages.size() == 1);
+        CHECK(fixture.messages[0].body.empty());
+        CHECK(fixture.reader.read("body") == http_read_error::malformed);
+        CHECK(fixture.messages.size() == 1);
+    }
+}
+
 TEST_CASE("Fields of one connection are not passed on, nor those that the connection names")
 {
     http_message message;
