Take admission by called services back

Cause: it refused runs whose calls would find no room, so that their callers come back later. Waiting for room at the entry is left to be tried.

--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -1,7 +1,5 @@
 #include "backend_gateway.h"
 
-#include "hashing.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -42,7 +40,6 @@
     , m_log(log)
     , m_hooks(std::move(hooks))
     , m_stuckThreshold(policy.stuckThreshold)
-    , m_callAdmission(policy.callAdmission)
     , m_queue(
           {},
           [this](const handle<queued_request>& request, instant now) {
@@ -100,24 +97,6 @@
     return notRun(refusal_reason::backendServerFailed, "the backend server fails requests");
 }
 
-/** Refuses a request whose run would probably fail for lack of room at a service that it calls. */
-result<void> backend_gateway::checkCalls(const gateway_request& request, instant now)
-{
-    if (!request.request.toleratesQueueing)
-        return {};
-    constexpr double hashRange = 0x1p64;
-    auto draw = static_cast<double>(stableHash(request.request.id.text())) / hashRange;
-    auto refused = m_callAdmission.check(request.request.kind, draw, now);
-    if (!refused)
-        return {};
-    m_log.write(event_priority::failure, "refused_for_calls", request.request.id,
-        { { "called", refused->calledService.text() },
-            { "calls_per_100_s", percentOf(refused->callsPerSecond) },
-            { "calls_per_100_runs", percentOf(refused->callsPerRun) },
-            { "retry_after", refused->error.retryAfter } });
-    return tl::unexpected(refused->error);
-}
-
 duration backend_gateway::avoidDurationFor(refusal_reason reason) const
 {
     switch (reason) {
@@ -144,7 +123,7 @@
     request->organisation = request->request.organisation;
     request->parallelOffers = request->request.parallelOffers;
     request->m_deadline = now + request->request.timeLeft;
-    auto admitted = checkAdmission(*request, now).and_then([&] { return checkCalls(*request, now); });
+    auto admitted = checkAdmission(*request, now);
     if (admitted) {
         admission_request admission { request, request->m_deadline, request->request.rank,
             request->request.maxQueueTime, request->request.isNested };
@@ -234,8 +213,6 @@
         return;
     }
     request->m_startedAt = now;
-    if (request->request.toleratesQueueing)
-        m_callAdmission.recordRun(request->request.kind, now);
     request->m_backend = m_identity.current().id;
     request->m_backendStartedAt = m_identity.current().startedAt;
     auto message = m_codec.makeBackendRequest(request->request, { request->m_backend, remaining });
@@ -630,16 +607,9 @@
         m_identity.warmupEndsAt());
 }
 
-void backend_gateway::recordCall(const nested_call_end& call)
+void backend_gateway::recordFailedCall()
 {
-    std::vector<request_kind> running;
-    for (const auto& each : m_activeRequests) {
-        if (each->m_stage == gateway_request::stage::running && each->request.toleratesQueueing)
-            running.push_back(each->request.kind);
-    }
-    m_callAdmission.recordCall(call.calledService, running, call.hadNoRoom, m_hooks.clock().monotonic);
-    if (call.hasFailed)
-        m_failedCalls = std::min(m_failedCalls + 1, m_activeRequests.size());
+    m_failedCalls = std::min(m_failedCalls + 1, m_activeRequests.size());
 }
 
 void backend_gateway::startDraining()
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -7,7 +7,6 @@
 
 #include "admission_queue.h"
 #include "backend_identity.h"
-#include "call_admission.h"
 #include "event_log.h"
 #include "header_codec.h"
 #include "http_client.h"
@@ -52,13 +51,6 @@
     handle<http_client_connection> m_connection;
 };
 
-/** How a call that the backend server made while it ran a request has ended. */
-struct nested_call_end {
-    service_id calledService;
-    bool hasFailed = false;
-    bool hadNoRoom = false; ///< It was refused because no server of the called service had room.
-};
-
 struct gateway_policy {
     /** How long a granted slot is held for the message of its offer. */
     duration commitTimeout = std::chrono::milliseconds(700);
@@ -71,7 +63,6 @@
     /** Used when the server announces no idle timeout. */
     duration defaultIdleTimeout = std::chrono::seconds(4);
     stuck_threshold_policy stuckThreshold;
-    call_admission_policy callAdmission; ///< For requests whose route tolerates queueing.
     /** Requests interrupted within this time before a crash is noticed are reported as its possible cause,
      * unless the server has answered others since. */
     duration crashWindow = std::chrono::seconds(10);
@@ -124,9 +115,9 @@
      * it concerned the current start of the server. */
     bool handleDeregistration(const backend_server_id& id, wall_time startedAt);
 
-    /** Notes the end of a nested call of the backend server. If it has failed, the server fails the request
-     * that it made the call for, which says nothing about the server itself. */
-    void recordCall(const nested_call_end& call);
+    /** Notes that a nested call of the backend server has failed. The server then fails the request that it
+     * made the call for, which says nothing about the server itself. */
+    void recordFailedCall();
 
     /** Refuses the requests that wait and all new ones, because this node stops. */
     void startDraining();
@@ -151,7 +142,6 @@
     };
 
     result<void> checkAdmission(gateway_request& request, instant now);
-    result<void> checkCalls(const gateway_request& request, instant now);
     result<void> checkStart(const gateway_request& request, instant now) const;
     duration avoidDurationFor(refusal_reason reason) const;
     void refuse(gateway_request& request, const request_error& refusal, bool hasReachedBackend);
@@ -195,7 +185,6 @@
     backend_identity m_identity;
     passive_health_check m_healthCheck;
     stuck_threshold m_stuckThreshold;
-    call_admission m_callAdmission;
     admission_queue m_queue;
     std::vector<handle<gateway_request>> m_activeRequests; ///< Hold a slot: granted or running.
     std::list<idle_connection> m_idleConnections; ///< Most recently used first.
--- a/packages/proxy/src/ingress_router.cpp
+++ b/packages/proxy/src/ingress_router.cpp
@@ -307,11 +307,6 @@
             finishWithBestResult("quarantine");
             return;
         }
-        if (m_isCalledServiceBusy) {
-            if (m_attempts.empty())
-                finishWithBestResult("calls");
-            return;
-        }
         // The set of peers may have changed since the request arrived, so the current snapshot is used.
         auto snapshot = m_router.m_hooks.snapshot();
         if (m_race) {
@@ -557,13 +552,6 @@
                 finishWithBestResult("quarantine");
             return;
         }
-        if (refusal.reason == refusal_reason::calledServiceBusy) {
-            // Other servers of the service make the same calls, so no further one is asked.
-            m_isCalledServiceBusy = true;
-            if (m_attempts.empty())
-                finishWithBestResult("calls");
-            return;
-        }
         bool isBusy = refusal.reason == refusal_reason::backendServerBusy;
         m_selector.recordRefusal(peer, isBusy ? refusal.retryAfter : duration::zero());
         if ((m_attempts.empty() || isAwaitingGrant()) && !m_isWaitingForTokens)
@@ -580,7 +568,8 @@
             { { "status", message.status }, { "took", elapsed }, { "attempts", m_attemptCount },
                 { "route", m_context.rule->name } });
         m_router.m_metrics.recordResponse(message.status, elapsed);
-        reportNestedCall(message.status >= firstServerError, false);
+        if (message.status >= firstServerError)
+            reportFailure();
         finish();
         m_responder->respond(std::move(message));
     }
@@ -600,21 +589,16 @@
                                                                      : 0 },
                 { "retry_after", refusal.retryAfter } });
         m_router.m_metrics.recordRefusal(refusal.reason, status);
-        bool hadNoRoom = refusal.outcome == execution::notRun
-            && (refusal.reason == refusal_reason::backendServerBusy
-                || refusal.reason == refusal_reason::backendServerShed
-                || refusal.reason == refusal_reason::calledServiceBusy
-                || refusal.reason == refusal_reason::deadlineExceeded);
-        reportNestedCall(true, hadNoRoom);
+        reportFailure();
         finish();
         m_responder->respond(m_router.m_codec.makeRefusal(refusal, status));
     }
 
-    /** Reports the end of a nested call, before the backend server that made it learns of it. */
-    void reportNestedCall(bool hasFailed, bool hadNoRoom)
+    /** Reports a nested call that has failed, before the backend server that made it learns of it. */
+    void reportFailure()
     {
         if (m_isAdmitted && isNested())
-            m_router.m_hooks.onNestedCallEnded({ m_service, hasFailed, hadNoRoom });
+            m_router.m_hooks.onNestedCallFailed();
     }
 
     /** Names of the nodes that have been sent the request and have not replied. */
@@ -661,7 +645,6 @@
     std::uint32_t m_possibleRunCount = 0; ///< Attempts whose backend server ran or may run the request.
     std::uint32_t m_attemptCount = 0;
     bool m_toleratesQueueing = false;
-    bool m_isCalledServiceBusy = false; ///< A gateway has refused the request for the calls of its run.
     bool m_isPartOfRetry = false; ///< A nested call that is counted as part of a retry.
     bool m_isWaitingForTokens = false; ///< A request for tokens is pending.
     bool m_mayHaveRun = false;
--- a/packages/proxy/src/ingress_router.h
+++ b/packages/proxy/src/ingress_router.h
@@ -67,8 +67,8 @@
         std::function<instant()> drainDeadline;
         /** Fraction of the requests running at this instance's backend server that are retries. */
         std::function<double()> retryShare;
-        /** A nested call of this instance's backend server has ended, before the server learns of it. */
-        std::function<void(const nested_call_end&)> onNestedCallEnded;
+        /** A nested call of this instance's backend server has failed. */
+        std::function<void()> onNestedCallFailed;
         /** Requests tokens from the node that owns the quota of \p limits. The callback gets nothing when
          * that node does not reply within \p timeout. */
         std::function<void(const handle<const organisation_limits>& limits, std::uint32_t wanted,
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -168,19 +168,19 @@
     ingressPolicy.race.parallelOffers = m_settings.queueing.parallelOffers;
     for (const auto& each : m_workers) {
         auto* requester = each.get();
-        each->router = std::make_unique<ingress_router>(each->context, m_settings.service,
-            m_settings.dataCentre, m_dependencies.headerCodec, m_quarantine, each->forwarder, ingressPolicy,
-            m_log, m_metrics,
-            ingress_router::hooks { m_clock, [this] { return m_controller.snapshot(); }, makeRandom(),
-                [this] { return m_responseDeadline.load(); }, [this] { return m_gateway->retryShare(); },
-                [this](const nested_call_end& call) {
-                    asio::dispatch(m_workers.front()->context, [this, call] { m_gateway->recordCall(call); });
-                },
-                [this, requester](const handle<const organisation_limits>& limits,
-                    std::uint32_t requestedTokens, duration timeout,
-                    std::function<void(std::optional<quota_grant>)> done) {
-                    requestQuota(*requester, limits, requestedTokens, timeout, std::move(done));
-                } });
+        each->router
+            = std::make_unique<ingress_router>(each->context, m_settings.service, m_settings.dataCentre,
+                m_dependencies.headerCodec, m_quarantine, each->forwarder, ingressPolicy, m_log, m_metrics,
+                ingress_router::hooks { m_clock, [this] { return m_controller.snapshot(); }, makeRandom(),
+                    [this] { return m_responseDeadline.load(); }, [this] { return m_gateway->retryShare(); },
+                    [this] {
+                        asio::dispatch(m_workers.front()->context, [this] { m_gateway->recordFailedCall(); });
+                    },
+                    [this, requester](const handle<const organisation_limits>& limits,
+                        std::uint32_t requestedTokens, duration timeout,
+                        std::function<void(std::optional<quota_grant>)> done) {
+                        requestQuota(*requester, limits, requestedTokens, timeout, std::move(done));
+                    } });
     }
     if (auto error = listenAll())
         return error;
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -437,7 +437,7 @@
         fixture.gateway.submit(request);
         REQUIRE(runUntil(fixture.context, [&] { return fixture.backend.requests.size() == before + 1; }));
         if (hasFailedCall)
-            fixture.gateway.recordCall({ service_id("shop"), true, false });
+            fixture.gateway.recordFailedCall();
         asio::write(fixture.backend.open.back()->socket, asio::buffer(std::string(failure)));
         REQUIRE(runUntil(fixture.context, [&] { return reply.has_value(); }));
         return reply->report.failureRisk > defaultMaxFailureRisk;
@@ -447,7 +447,7 @@
     SUBCASE("a failure of its own counts") { CHECK(failOne(false)); }
     SUBCASE("a call that failed while nothing ran explains nothing")
     {
-        fixture.gateway.recordCall({ service_id("shop"), true, false });
+        fixture.gateway.recordFailedCall();
         CHECK(failOne(false));
     }
 }
--- a/test/proxy/request_entry.cpp
+++ b/test/proxy/request_entry.cpp
@@ -28,8 +28,7 @@
         policy, quietLog(), metrics,
         { readSystemClock, [this] { return handle<const fleet_snapshot>(snapshot); },
             [](std::uint64_t) -> std::uint64_t { return 0; }, [this] { return answersBy; },
-            [] { return 0.0; },
-            [this](const nested_call_end& call) { failedCalls += call.hasFailed ? 1 : 0; },
+            [] { return 0.0; }, [this] { ++failedCalls; },
             [](const handle<const organisation_limits>&, std::uint32_t, duration,
                 const std::function<void(std::optional<quota_grant>)>& done) { done(std::nullopt); } } };
     tcp::endpoint address = freeEndpoint();
