End stalled connections of callers when connections or memory are used up

Cause: callers that send a part of a request and stay took all connections of a node, so that ordinary callers got no answer until the others timed out. Change: a node that has no connection left ends the one that has made no progress for the longest time, a second at least, those with a part of a request first (open_connections); so it does for memory that many small messages hold. Logged and counted as connection_given_up.

--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -49,8 +49,9 @@
                   [this] { return makeBody(m_throttle, byte_holder::callerRequest); } })
     {
         ++m_server.m_connections;
-        m_growth.setHooks({ [this] { readMore(); }, [this] { giveUpRequest(); } });
+        m_growth.setHooks({ [this] { resumeReading(); }, [this] { giveUpRequest(); } });
         m_unsentMessage.end = [this] { giveUpResponse(); };
+        m_openConnection.end = [this] { giveUpConnection(); };
     }
 
     ~http_server_connection() { --m_server.m_connections; }
@@ -65,6 +66,7 @@
             m_unsentCharge = m_throttle->makeCharge(byte_holder::unsentResponse);
         }
         recordActivity();
+        recordWaiting();
         checkTimeouts();
         readMore();
     }
@@ -97,6 +99,24 @@
 private:
     void recordActivity() { m_lastActivity = m_server.m_hooks.clock().monotonic; }
 
+    /** Records whether the connection waits for its client and may be ended in favour of others. */
+    void recordWaiting()
+    {
+        if (!m_throttle)
+            return;
+        bool isWaiting = !m_isClosed && !m_isClosing && m_pending.empty() && !m_isWriting && m_unsent.empty();
+        if (!isWaiting) {
+            m_throttle->connections().recordBusy(m_openConnection);
+            return;
+        }
+        auto wait = connection_wait::restOfRequest;
+        if (m_growth.isPaused())
+            wait = connection_wait::memory;
+        else if (m_hasServedRequest && !m_reader.isInMessage())
+            wait = connection_wait::nextRequest;
+        m_throttle->connections().recordWaiting(m_openConnection, wait, m_lastActivity);
+    }
+
     void handleRequest(http_message&& message)
     {
         if (m_isClosing || m_isDiscardingInput)
@@ -110,6 +130,8 @@
         m_isDiscardingInput = m_isDiscardingInput || isLast;
         m_pending.push_back(responder);
         ++m_server.m_pending;
+        m_hasServedRequest = true;
+        recordWaiting();
         m_server.m_hooks.handler(std::move(message), responder);
     }
 
@@ -160,10 +182,19 @@
             m_headStartedAt = m_lastActivity;
         if (result != http_read_error::none && !m_isDiscardingInput)
             respondWithError(statusFor(result), "the request cannot be read");
-        if (mayReceiveMore())
+        bool mayReceive = mayReceiveMore();
+        recordWaiting();
+        if (mayReceive)
             readMore();
     }
 
+    void resumeReading()
+    {
+        recordActivity();
+        recordWaiting();
+        readMore();
+    }
+
     /** Whether the memory of the process allows to receive more of the present request, which is given up
      * otherwise or received later. */
     bool mayReceiveMore()
@@ -184,6 +215,15 @@
         readMore();
     }
 
+    /** Closes the connection, which has made no progress for the longest time, in favour of others. */
+    void giveUpConnection()
+    {
+        if (m_server.m_hooks.onConnectionGivenUp)
+            m_server.m_hooks.onConnectionGivenUp(
+                m_server.m_hooks.clock().monotonic - m_lastActivity, m_reader.bodyBytes());
+        closeConnection();
+    }
+
     /** Closes the connection before the response was sent whole. The client sees that it is incomplete. */
     void giveUpResponse()
     {
@@ -236,6 +276,7 @@
                 startLinger();
             else
                 setDelivering(false);
+            recordWaiting();
             return;
         }
         m_writing.swap(m_unsent);
@@ -251,6 +292,7 @@
     void writeRest()
     {
         m_isWriting = true;
+        recordWaiting();
         m_socket.async_write_some(asio::buffer(m_writing) + m_writtenBytes,
             [self = handle<http_server_connection>(this)](
                 std::error_code error, std::size_t length) { self->onWritten(error, length); });
@@ -356,6 +398,7 @@
         m_timer.cancel();
         if (m_throttle) {
             recordUnsent();
+            recordWaiting();
             m_throttle->finish(m_growth);
         }
         m_reader.takePartialMessage();
@@ -372,6 +415,7 @@
     receive_throttle* m_throttle = nullptr;
     growing_message m_growth; ///< The request that is being received.
     unsent_message m_unsentMessage; ///< All responses that are being sent.
+    open_connection m_openConnection;
     memory_charge m_unsentCharge;
     std::string m_unsent;
     std::string m_writing;
@@ -380,6 +424,7 @@
     instant m_lastActivity {};
     instant m_headStartedAt {};
     instant m_lastProgress {}; ///< When the client last took a part of a response, or the response began.
+    bool m_hasServedRequest = false; ///< A whole request has been received.
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isDelivering = false;
@@ -437,12 +482,16 @@
 void http_server::startConnection(tcp::socket socket)
 {
     auto limits = m_hooks.limits();
-    if (m_connections >= limits.maxConnections)
-        return;
+    bool isFull = m_connections >= limits.maxConnections;
     setNoDelay(socket);
     auto executor = socket.get_executor();
     handle<http_server_connection> connection(new http_server_connection(*this, std::move(socket), limits));
-    asio::dispatch(executor, [connection] { connection->start(); });
+    asio::dispatch(executor, [this, connection, isFull] {
+        // A connection that is not started is closed.
+        auto* throttle = isFull && m_hooks.throttle ? m_hooks.throttle() : nullptr;
+        if (!isFull || (throttle && throttle->endConnectionForAnother()))
+            connection->start();
+    });
 }
 
 } // namespace pomelohub
--- a/packages/proxy/src/http_server.h
+++ b/packages/proxy/src/http_server.h
@@ -57,7 +57,7 @@
     duration headerTimeout = std::chrono::seconds(3);
     duration idleTimeout = std::chrono::seconds(15);
     std::size_t maxConnections
-        = 3000; ///< Leaves file descriptors for other uses; further connections are closed at once.
+        = 3000; ///< Leaves file descriptors for other uses; a further one ends a stalled one or is closed.
     std::size_t maxPipelinedRequests = 64; ///< Pending requests per connection; reading pauses at this limit.
 };
 
@@ -81,6 +81,9 @@
         /** A connection was closed before its response was sent whole: the client has not taken any of it for
          * the idle timeout, or this process holds too many bytes. May be unset. */
         std::function<void(std::size_t unsentBytes)> onResponseGivenUp = nullptr;
+        /** A connection that had made no progress for \p stalled was closed, because connections or memory
+         * are used up. \param bodyBytes of the request that had been received in part. May be unset. */
+        std::function<void(duration stalled, std::size_t bodyBytes)> onConnectionGivenUp = nullptr;
     };
 
     http_server(asio::io_context& context, hooks hooks);
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -103,6 +103,10 @@
 void proxy_metrics::recordHedge() { m_events.Add({ { "event", "hedge" } }).Increment(); }
 
 void proxy_metrics::recordCallerDisconnect() { m_events.Add({ { "event", "caller_left" } }).Increment(); }
+void proxy_metrics::recordStalledConnection()
+{
+    m_events.Add({ { "event", "connection_given_up" } }).Increment();
+}
 
 void proxy_metrics::recordStoreCall(bool succeeded)
 {
--- a/packages/proxy/src/proxy_metrics.h
+++ b/packages/proxy/src/proxy_metrics.h
@@ -27,6 +27,7 @@
     void recordRetry();
     void recordHedge();
     void recordCallerDisconnect();
+    void recordStalledConnection();
     void recordStoreCall(bool succeeded);
     /** Records the decoding of a configuration document, valid or not. */
     void recordDecoding(std::size_t documentBytes, duration took);
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -225,6 +225,12 @@
                 m_log.write(event_priority::failure, "response_not_taken", {},
                     { { "unsent", static_cast<std::uint64_t>(unsentBytes) },
                         { "held", static_cast<std::uint64_t>(m_memory.heldBytes()) } });
+            },
+            [this](duration stalled, std::size_t bodyBytes) {
+                m_metrics.recordStalledConnection();
+                m_log.write(event_priority::failure, "connection_given_up", {},
+                    { { "stalled", stalled }, { "received", static_cast<std::uint64_t>(bodyBytes) },
+                        { "held", static_cast<std::uint64_t>(m_memory.heldBytes()) } });
             } });
     auto defaultLimits = [] { return http_server_limits {}; };
     m_notificationServer = std::make_unique<http_server>(m_control,
--- a/packages/proxy/src/receive_throttle.cpp
+++ b/packages/proxy/src/receive_throttle.cpp
@@ -26,7 +26,11 @@
 growth receive_throttle::recordGrowth(
     growing_message& message, std::size_t bytes, std::optional<std::size_t> remainingBytes)
 {
-    auto next = m_controller.recordGrowth(message, bytes, remainingBytes, m_clock().monotonic);
+    auto now = m_clock().monotonic;
+    auto next = m_controller.recordGrowth(message, bytes, remainingBytes, now);
+    // What many small messages hold is released by ending those that have stalled.
+    if (m_controller.account().isExhausted())
+        m_connections.endForMemory(now);
     if (next == growth::pause && !m_isChecking)
         checkPaused();
     return next;
--- a/packages/proxy/src/receive_throttle.h
+++ b/packages/proxy/src/receive_throttle.h
@@ -7,6 +7,7 @@
 #include "growth_controller.h"
 #include "message_body.h"
 #include "one_shot_timer.h"
+#include "open_connections.h"
 
 namespace pomelohub {
 
@@ -34,6 +35,12 @@
     /** As growth_controller::finish(). */
     void finish(growing_message& message) { m_controller.finish(message, m_clock().monotonic); }
 
+    /** The connections that wait for their callers on this thread. */
+    open_connections& connections() { return m_connections; }
+
+    /** As open_connections::endForConnection(). */
+    bool endConnectionForAnother() { return m_connections.endForConnection(m_clock().monotonic); }
+
     /** As growth_controller::recordUnsent(). */
     void recordUnsent(unsent_message& message, std::size_t bytes, bool isStalled)
     {
@@ -44,6 +51,7 @@
     void checkPaused();
 
     growth_controller m_controller;
+    open_connections m_connections;
     clock_hook m_clock;
     one_shot_timer m_timer;
     std::size_t m_reliefHook;
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -135,6 +135,14 @@
     return 0;
 }
 
+std::size_t proxy_fleet::openDescriptors(std::size_t node) const
+{
+    std::error_code error; // The process may have ended.
+    std::filesystem::directory_iterator entries(
+        "/proc/" + std::to_string(m_instances[node]->process->id()) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 void proxy_fleet::signal(std::size_t node, int number) { m_instances[node]->process->signal(number); }
 
 std::optional<int> proxy_fleet::exitStatus(std::size_t node) { return m_instances[node]->process->poll(); }
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -80,6 +80,9 @@
     /** Most memory that a node's process has had resident, in bytes; 0 if it has ended. */
     std::size_t peakMemory(std::size_t node) const;
 
+    /** How many descriptors a node's process has open; 0 if it has ended. */
+    std::size_t openDescriptors(std::size_t node) const;
+
     const tcp::endpoint& callersEndpoint(std::size_t node) const { return m_instances[node]->node.callers; }
 
     void signal(std::size_t node, int number);
