--- a/packages/decisions/src/offer_race.h
+++ b/packages/decisions/src/offer_race.h
@@ -22,7 +22,8 @@
     double maxWaitFraction = 0.7;
     /** Maximum number of refused offers; more servers that are as busy tell nothing new. */
     std::uint32_t maxRefusals = 4;
-    failure_risk_limit maxFailureRisk { 0.2, 0.4 }; ///< Of the servers that get offers.
+    /** Of the servers that get offers. As for an idle slot: others have room, too. */
+    failure_risk_limit maxFailureRisk { 0.10, 0.2 };
     /** How much longer an answer may take in the own data centre for each kilobyte of the request's body: a
      * body occupies the links between data centres, which all requests share. */
     duration crossDataCentrePenaltyPerKilobyte = std::chrono::milliseconds(10);
