Log when a node's belief about the warmth of its backend server changes

The log told only what the first heartbeat of a start said, so a server that turned cold later, the source of the belief and the requests sent meanwhile could not be told apart. backend_cold and backend_warm name the source and the requests of the last second; pomelohub_backend_cold is the present belief. start_window counts requests when they are sent, not when their slot is granted, which may be 700 ms earlier.

--- a/packages/decisions/src/admission_queue.cpp
+++ b/packages/decisions/src/admission_queue.cpp
@@ -181,6 +181,7 @@
             if (!request)
                 break;
             ++m_slotsInUse;
+            m_startWindow.reserve();
             m_start(std::move(request), now);
         }
     }
--- a/packages/decisions/src/admission_queue.h
+++ b/packages/decisions/src/admission_queue.h
@@ -8,6 +8,7 @@
 #include "fair_queue.h"
 #include "request_error.h"
 #include "start_rate_limit.h"
+#include "start_window.h"
 
 #include <map>
 
@@ -54,6 +55,14 @@
      * otherwise. */
     void release(std::optional<duration> latency, instant now);
 
+    /** Notes that a request that was started is sent to the server, or is not going to be. Each request that
+     * was started is to be followed by one of these calls, the second before release(). */
+    void recordStart(instant now) { m_startWindow.recordStart(now); }
+    void withdrawStart() { m_startWindow.withdraw(); }
+
+    /** Number of requests that were sent to the server in the last second. */
+    std::size_t recentStarts(instant now) const { return m_startWindow.startCount(now); }
+
     /** Removes a waiting request. \return whether it was still waiting. */
     bool remove(queued_request& request);
 
@@ -111,6 +120,7 @@
     duration m_meanLatency;
     start_rate_limit m_warmupLimit;
     start_rate_limit m_requestLimit;
+    start_window m_startWindow;
     bool m_isDispatching = false;
 };
 
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -207,12 +207,14 @@
         asio::post(m_context, [this, request, reason = startable.error()] {
             if (request->m_stage == gateway_request::stage::done)
                 return; // It was cancelled, which has released its slot.
-            m_queue.release(std::nullopt, m_hooks.clock().monotonic);
+            releaseSlot(*request, std::nullopt, m_hooks.clock().monotonic);
             refuse(*request, reason, false);
         });
         return;
     }
     request->m_startedAt = now;
+    request->m_isSent = true;
+    m_queue.recordStart(now);
     request->m_backend = m_identity.current().id;
     request->m_backendStartedAt = m_identity.current().startedAt;
     auto message = m_codec.makeBackendRequest(request->request, { request->m_backend, remaining });
@@ -221,6 +223,15 @@
         [this, request](http_call_result result) { handleResult(*request, std::move(result)); });
 }
 
+/** Frees the slot of \p request. \param latency as in admission_queue::release(). */
+void backend_gateway::releaseSlot(
+    const gateway_request& request, std::optional<duration> latency, instant now)
+{
+    if (!request.m_isSent)
+        m_queue.withdrawStart();
+    m_queue.release(latency, now);
+}
+
 void backend_gateway::handleResult(gateway_request& request, http_call_result result)
 {
     handle<gateway_request> self(&request);
@@ -243,7 +254,7 @@
     if (isForOtherRequest || isUnsigned || isUnprovenRefusal || info.hasEncodedBody) {
         connection->cancel();
         recordOutcome(request, backend_outcome::broken, now);
-        m_queue.release(std::nullopt, now);
+        releaseSlot(request, std::nullopt, now);
         finishAsMayHaveRun(
             request, refusal_reason::backendServerFailed, "the answer is not that of the request");
         return;
@@ -258,12 +269,12 @@
     }
     if (info.isOtherServerStart) {
         m_identity.forget();
-        m_queue.release(std::nullopt, now);
+        releaseSlot(request, std::nullopt, now);
         refuse(request, refusal(refusal_reason::noBackendServer, "another server has the address"), true);
         return;
     }
     if (info.wasNotRun) {
-        m_queue.release(std::nullopt, now);
+        releaseSlot(request, std::nullopt, now);
         refuse(request, refusal(refusal_reason::backendServerShed, "the backend server rejected it"), true);
         return;
     }
@@ -278,7 +289,7 @@
     if (!isFailure)
         m_stuckThreshold.record(request.request.isNested, now - request.m_startedAt);
     m_hooks.onResponse(request.request.fingerprint);
-    m_queue.release(isFailure ? std::nullopt : std::optional(now - request.m_startedAt), now);
+    releaseSlot(request, isFailure ? std::nullopt : std::optional(now - request.m_startedAt), now);
     forward_reply reply;
     removeHopByHopFields(response);
     reply.response = std::move(response);
@@ -305,7 +316,7 @@
         // request may have crashed it.
         reportCrash("connection_refused", now);
         m_identity.forget();
-        m_queue.release(std::nullopt, now);
+        releaseSlot(request, std::nullopt, now);
         refuse(request, refusal(refusal_reason::noBackendServer, "the backend server takes no connection"),
             false);
         return;
@@ -321,7 +332,8 @@
             { request.request.fingerprint, request.m_backend, request.m_backendStartedAt, request.m_startedAt,
                 now } });
     }
-    m_queue.release(std::nullopt, now); // After recordOutcome(), which may refuse the requests that wait.
+    releaseSlot(
+        request, std::nullopt, now); // After recordOutcome(), which may refuse the requests that wait.
     verifyServer();
     auto reason = isPastDeadline ? refusal_reason::deadlineExceeded : refusal_reason::backendServerFailed;
     finishAsMayHaveRun(request, reason,
@@ -340,7 +352,7 @@
             { "has_length", connection->hasResponseLength() } });
     if (!connection->hasResponseLength())
         recordOutcome(request, backend_outcome::broken, now);
-    m_queue.release(std::nullopt, now);
+    releaseSlot(request, std::nullopt, now);
     finishAsMayHaveRun(request, refusal_reason::memoryExhausted, "the response is too large to be held");
 }
 
@@ -494,7 +506,7 @@
     case gateway_request::stage::granted:
         request.onReply = nullptr;
         finish(request, {});
-        m_queue.release(std::nullopt, now);
+        releaseSlot(request, std::nullopt, now);
         break;
     case gateway_request::stage::running:
         request.onReply = nullptr;
@@ -502,7 +514,7 @@
             if (request.m_connection)
                 request.m_connection->cancel();
             finish(request, {});
-            m_queue.release(std::nullopt, now);
+            releaseSlot(request, std::nullopt, now);
         }
         break;
     case gateway_request::stage::done:
@@ -567,6 +579,7 @@
                 { "slots", heartbeat.slots }, { "cold", heartbeat.warmupLeft } });
     }
     applyWarmupLimit(now);
+    recordWarmth("heartbeat", now);
     m_queue.setSlots(heartbeat.slots, now);
     if (m_identity.isLeaving() && !wasDraining)
         handleLeaving(now);
@@ -607,6 +620,20 @@
         m_identity.warmupEndsAt());
 }
 
+/** Reports a change of whether the server is believed to be cold, and how many requests it got before. */
+void backend_gateway::recordWarmth(std::string_view source, instant now)
+{
+    bool isCold = m_identity.isCold(now);
+    if (std::exchange(m_isKnownAsCold, isCold) == isCold)
+        return;
+    m_log.write(event_priority::always, isCold ? "backend_cold" : "backend_warm", {},
+        { { "backend", m_identity.current().id.text() }, { "source", source },
+            { "left", isCold ? m_identity.warmupEndsAt() - now : duration::zero() },
+            { "starts_in_last_second", static_cast<std::uint64_t>(m_queue.recentStarts(now)) } });
+    if (m_hooks.onWarmthChanged)
+        m_hooks.onWarmthChanged(isCold);
+}
+
 void backend_gateway::recordFailedCall()
 {
     m_failedCalls = std::min(m_failedCalls + 1, m_activeRequests.size());
@@ -687,7 +714,7 @@
     }
     for (const auto& request : expiredGrants) {
         refuse(*request, refusal(refusal_reason::pathFailed, "the request did not follow its offer"), false);
-        m_queue.release(std::nullopt, now);
+        releaseSlot(*request, std::nullopt, now);
     }
     scheduleNextStart();
 }
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -44,6 +44,7 @@
     stage m_stage = stage::waiting;
     bool m_isTrial = false;
     bool m_isStuck = false;
+    bool m_isSent = false; ///< To the backend server.
     instant m_startedAt {};
     instant m_deadline {}; ///< The sender does not wait beyond it.
     backend_server_id m_backend; ///< The server to which it was sent, and the start of that server.
@@ -86,6 +87,8 @@
         /** The backend server completed a response to the request. */
         std::function<void(request_fingerprint)> onResponse;
         receive_throttle* throttle = nullptr; ///< For responses; not limited if null.
+        /** The backend server is believed to be cold from now on, or to be warm. May be unset. */
+        std::function<void(bool isCold)> onWarmthChanged {};
     };
 
     backend_gateway(asio::io_context& context, asio::ip::tcp::endpoint backend, service_id service,
@@ -149,6 +152,7 @@
     void finishAsMayHaveRun(gateway_request& request, refusal_reason reason, std::string detail);
     void start(const handle<gateway_request>& request, instant now);
     void run(const handle<gateway_request>& request, instant now);
+    void releaseSlot(const gateway_request& request, std::optional<duration> latency, instant now);
     void handleResult(gateway_request& request, http_call_result result);
     void handleResponse(gateway_request& request, http_message&& response, instant now);
     void handleFailure(gateway_request& request, http_call_failure failure, instant now);
@@ -168,6 +172,7 @@
     void poolConnection(const handle<http_client_connection>& connection, instant now);
     const service_profile* profileIn(const handle<const fleet_snapshot>& snapshot) const;
     void applyWarmupLimit(instant now);
+    void recordWarmth(std::string_view source, instant now);
     void updateRetryShare();
     void scheduleNextStart();
     void scheduleChecks(instant now);
@@ -199,6 +204,7 @@
     /** Nested calls that have failed and may explain a failure of a running request. */
     std::size_t m_failedCalls = 0;
     bool m_isDraining = false;
+    bool m_isKnownAsCold = false; ///< As last reported.
 };
 
 } // namespace pomelohub
--- a/packages/proxy/src/proxy_metrics.cpp
+++ b/packages/proxy/src/proxy_metrics.cpp
@@ -71,6 +71,11 @@
                      .Add({}))
     , m_knownNodes(
           BuildGauge().Name("pomelohub_known_nodes").Help("Nodes known").Register(m_registry).Add({}))
+    , m_backendCold(BuildGauge()
+                        .Name("pomelohub_backend_cold")
+                        .Help("1 while the backend server is believed to be cold")
+                        .Register(m_registry)
+                        .Add({}))
     , m_droppedLogLines(BuildGauge()
                             .Name("pomelohub_log_lines_dropped")
                             .Help("Log lines that were not written")
@@ -136,6 +141,8 @@
     m_configurationVersion.Set(static_cast<double>(version));
 }
 
+void proxy_metrics::setBackendCold(bool isCold) { m_backendCold.Set(isCold ? 1 : 0); }
+
 void proxy_metrics::setStoreEra(std::uint64_t era) { m_storeEra.Set(static_cast<double>(era)); }
 
 void proxy_metrics::setKnownNodes(std::size_t count) { m_knownNodes.Set(static_cast<double>(count)); }
--- a/packages/proxy/src/proxy_metrics.h
+++ b/packages/proxy/src/proxy_metrics.h
@@ -36,6 +36,7 @@
     void setConfigurationVersion(std::uint64_t version);
     void setStoreEra(std::uint64_t era);
     void setKnownNodes(std::size_t count);
+    void setBackendCold(bool isCold);
     void setDroppedLogLines(std::uint64_t count);
     void setHeldBytes(const memory_account& account);
 
@@ -57,6 +58,7 @@
     prometheus::Gauge& m_configurationVersion;
     prometheus::Gauge& m_storeEra;
     prometheus::Gauge& m_knownNodes;
+    prometheus::Gauge& m_backendCold;
     prometheus::Gauge& m_droppedLogLines;
     std::array<prometheus::Gauge*, byteHolderCount> m_heldBytes {};
 };
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -157,7 +157,7 @@
                     asio::post(
                         m_control, [this, fingerprint] { m_controlLoop->recordResponse(fingerprint); });
             },
-            &firstWorker->throttle });
+            &firstWorker->throttle, [this](bool isCold) { m_metrics.setBackendCold(isCold); } });
     firstWorker->forwarder.setGateway(m_gateway.get());
     m_workers.push_back(std::move(firstWorker));
     while (m_workers.size() < m_settings.threadCount)
