--- /dev/null
+++ b/test/proxy/cold_server.cpp
@@ -0,0 +1,169 @@
+/** \file
+ * A backend server that is cold gets no more requests in any second than it can handle, however late its node
+ * learns that it is cold.
+ */
+#include "gateway_fixture.h"
+
+using namespace pomelohub;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double warmupPerSecond = 12;
+constexpr std::size_t tolerated = 23; // The users' bound: 12 x 1.5 + 5.
+
+std::string healthOf(const std::string& fields)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n";
+}
+
+/** Callers that send their next request as soon as the last one is answered or refused. */
+struct busy_callers {
+    busy_callers(gateway_fixture& fixture, int count)
+        : m_fixture(fixture)
+    {
+        for (int i = 0; i < count; ++i)
+            send();
+    }
+
+    ~busy_callers() { m_isStopped = true; }
+
+    void send()
+    {
+        auto request = m_fixture.make(retry_rule::idempotent);
+        request->onReply = [this](const forward_reply& reply) {
+            if (m_isStopped)
+                return;
+            if (reply.response)
+                ++served;
+            asio::post(m_fixture.context, [this] {
+                if (!m_isStopped)
+                    send();
+            });
+        };
+        m_fixture.gateway.submit(request);
+    }
+
+    int served = 0;
+
+private:
+    gateway_fixture& m_fixture;
+    bool m_isStopped = false;
+};
+
+void playFor(gateway_fixture& fixture, duration time)
+{
+    auto end = readSystemClock().monotonic + time;
+    fixture.context.restart();
+    while (readSystemClock().monotonic < end)
+        fixture.context.run_one_for(10ms);
+}
+
+} // namespace
+
+TEST_CASE("A server that turns cold between two heartbeats gets no more in a second than it can handle")
+{
+    gateway_fixture fixture;
+    fixture.setWarmupRate(warmupPerSecond);
+    SUBCASE("when its health answers say that it is cold")
+    {
+        fixture.backend.healthReply = healthOf("Instance-Id: i-1\r\nWarmup-Ms: 3000\r\n");
+    }
+    SUBCASE("when its health check is not answered") { fixture.backend.healthReply = ""; }
+    SUBCASE("when its health check fails")
+    {
+        fixture.backend.healthReply = "HTTP/1.1 503 Busy\r\nInstance-Id: i-1\r\nContent-Length: 0\r\n\r\n";
+    }
+    SUBCASE("when another server answers the health check")
+    {
+        fixture.backend.healthReply = healthOf("Instance-Id: i-2\r\n");
+    }
+    SUBCASE("when the time that its health answer gives cannot be read")
+    {
+        fixture.backend.healthReply = healthOf("Instance-Id: i-1\r\nWarmup-Ms: soon\r\n");
+    }
+    busy_callers callers(fixture, 20);
+    playFor(fixture, 2500ms);
+    CHECK(callers.served > 0);
+    CHECK(fixture.backend.mostInOneSecond() <= tolerated);
+}
+
+TEST_CASE("Requests of offers that were granted one after the other reach a cold server no faster together")
+{
+    gateway_fixture fixture;
+    fixture.setWarmupRate(warmupPerSecond);
+    fixture.backend.healthReply = healthOf("Instance-Id: i-1\r\nWarmup-Ms: 3000\r\n");
+    std::vector<handle<gateway_request>> granted;
+    backend_heartbeat heartbeat;
+    heartbeat.id = backend_server_id("i-1");
+    heartbeat.service = service_id("a");
+    heartbeat.slots = 100;
+    heartbeat.sequence = 2;
+    heartbeat.startedAt = wall_time(1000ms);
+    fixture.gateway.handleHeartbeat(heartbeat);
+    int sent = 0;
+    auto commitAll = [&] {
+        for (const auto& request : std::exchange(granted, {}))
+            fixture.gateway.commit(*request);
+    };
+    auto end = readSystemClock().monotonic + 3s;
+    auto nextCommit = readSystemClock().monotonic + 600ms;
+    fixture.context.restart();
+    while (readSystemClock().monotonic < end) {
+        if (sent < 200) {
+            ++sent;
+            auto request = fixture.make(retry_rule::idempotent);
+            request->hasPayload = false;
+            request->onReply = [](const forward_reply&) {};
+            request->onGranted = [&granted, raw = request.get()] { granted.emplace_back(raw); };
+            fixture.gateway.submit(request);
+        }
+        if (readSystemClock().monotonic > nextCommit) {
+            nextCommit += 600ms;
+            commitAll();
+        }
+        fixture.context.run_one_for(10ms);
+    }
+    CHECK(!fixture.backend.arrivals.empty());
+    CHECK(fixture.backend.mostInOneSecond() <= tolerated);
+}
+
+TEST_CASE("A late heartbeat does not make a server warm that has said since that it is cold")
+{
+    gateway_fixture fixture;
+    fixture.setWarmupRate(warmupPerSecond);
+    fixture.backend.healthReply = healthOf("Instance-Id: i-1\r\nWarmup-Ms: 5000\r\n");
+    busy_callers callers(fixture, 20);
+    REQUIRE(runUntil(fixture.context, [&] { return fixture.gateway.report().isCold; }));
+    fixture.beat();
+    CHECK(fixture.gateway.report().isCold);
+}
+
+TEST_CASE("A cold server whose service leaves the configuration is not flooded by the requests that wait")
+{
+    gateway_fixture fixture;
+    fixture.setWarmupRate(warmupPerSecond);
+    fixture.backend.healthReply = healthOf("Instance-Id: i-1\r\nWarmup-Ms: 5000\r\n");
+    fixture.beat("i-1", false, 1000ms, 5s);
+    std::vector<handle<gateway_request>> waiting;
+    for (int i = 0; i < 60; ++i) {
+        waiting.push_back(fixture.make(retry_rule::idempotent));
+        waiting.back()->request.timeLeft = 60s;
+        waiting.back()->request.maxQueueTime = 60s;
+        fixture.gateway.submit(waiting.back());
+    }
+    fixture.snapshot->routes = handle<routing_table>(new routing_table);
+    fixture.gateway.onSnapshotChanged();
+    playFor(fixture, 1500ms);
+    CHECK(fixture.backend.mostInOneSecond() <= tolerated);
+}
+
+TEST_CASE("A server that is busy and warm is not held to the rate of a cold one")
+{
+    gateway_fixture fixture;
+    fixture.setWarmupRate(warmupPerSecond);
+    fixture.backend.healthReply = healthOf("Instance-Id: i-1\r\n");
+    busy_callers callers(fixture, 20);
+    constexpr int many = 300; // Takes more than twelve seconds at the bound for a cold server.
+    CHECK(runUntil(fixture.context, [&] { return callers.served >= many; }));
+}
