Show that crowds on many connections exceed the memory of their instance

The cases of test/hostile so far allowed 800 connections at 64 MB, fewer than an instance of 160 MB and 8,192 descriptors does.

--- a/test/hostile/crowd.cpp
+++ b/test/hostile/crowd.cpp
@@ -21,11 +21,16 @@
 constexpr std::size_t maxBodyBytes = 2 * megabyte;
 constexpr std::size_t manyCallers = 900; ///< More than the connections that the descriptors allow.
 constexpr std::size_t fewCallers = 60; ///< With large bodies.
+/** Connections and memory in the proportion of the smallest memory and the most descriptors of an instance,
+ * 160 MB and 8,192. */
+constexpr std::size_t manyDescriptors = 3276;
+constexpr std::size_t mostCallers = 1700;
 
 struct small_fleet : proxy_fleet {
-    small_fleet()
+    explicit small_fleet(std::size_t maxDescriptors = descriptors)
         : proxy_fleet({ "browse", "bids", "browse" },
-            json { { "memory_mb", memoryMb }, { "descriptors", descriptors } })
+            json { { "memory_mb", memoryMb }, { "descriptors", maxDescriptors } })
+        , m_maxDescriptors(maxDescriptors)
     {
         auto document = makeConfiguration(1, { "browse", "bids" },
             { { "r1", "/browse/", "browse", true }, { "r2", "/bids/", "bids", false } }, { "k1" });
@@ -48,14 +53,34 @@
             CHECK(!exitStatus(node));
             CHECK(peakMemory(node) > 0);
             CHECK(peakMemory(node) <= memoryMb * megabyte);
-            CHECK(openDescriptors(node) <= descriptors);
+            CHECK(openDescriptors(node) <= m_maxDescriptors);
             CHECK(waitFor([&] { return isServing(node); }));
             CHECK(!exitStatus(node));
         }
         MESSAGE("peak memory ", peakMemory(0) / megabyte, " MB, descriptors ", openDescriptors(0));
     }
 
+    /** Also counts what callers have sent and the process has not read, as the memory of an instance does. */
+    void checkWithSockets()
+    {
+        checkMemory();
+        checkAll();
+        checkMemory();
+    }
+
 private:
+    void checkMemory()
+    {
+        for (std::size_t node = 0; node < size(); ++node) {
+            auto unread = unreadBytes(node);
+            CHECK(peakMemory(node) + unread <= memoryMb * megabyte);
+            if (node == 0)
+                MESSAGE(
+                    "peak memory ", peakMemory(node) / megabyte, " MB, unread ", unread / megabyte, " MB");
+        }
+    }
+
+    std::size_t m_maxDescriptors;
     int m_lastId = 0;
 };
 
@@ -165,3 +190,47 @@
         head("Transfer-Encoding: chunked\r\n") + chunks(64 * kilobyte, 8 * megabyte));
     fleet.checkAll();
 }
+
+// Guards against connections that are each bounded and together exceed the memory.
+TEST_CASE("Small bodies that stop just short of their end on as many connections as the descriptors allow")
+{
+    small_fleet fleet(manyDescriptors);
+    crowd callers(fleet.callersEndpoint(0), mostCallers,
+        head("Content-Length: " + std::to_string(32 * kilobyte) + "\r\n") + std::string(31 * kilobyte, 'x'));
+    fleet.checkWithSockets();
+}
+
+TEST_CASE("Small bodies in very small chunks on as many connections as the descriptors allow")
+{
+    small_fleet fleet(manyDescriptors);
+    crowd callers(fleet.callersEndpoint(0), mostCallers,
+        head("Transfer-Encoding: chunked\r\n") + chunks(2, 31 * kilobyte));
+    fleet.checkWithSockets();
+}
+
+TEST_CASE("Heads without end on as many connections as the descriptors allow")
+{
+    small_fleet fleet(manyDescriptors);
+    auto start = head("X-Long: " + std::string(15 * kilobyte, 'x') + "\r\n");
+    start.resize(start.size() - 2); // The empty line that ends a head.
+    crowd callers(fleet.callersEndpoint(0), mostCallers, start);
+    fleet.checkWithSockets();
+}
+
+// Guards against bodies that are held back in the receive buffers of their sockets, which count as memory.
+TEST_CASE("Large bodies that are held back on as many connections as the descriptors allow")
+{
+    small_fleet fleet(manyDescriptors);
+    crowd callers(fleet.callersEndpoint(0), mostCallers,
+        head("Content-Length: " + std::to_string(maxBodyBytes) + "\r\n")
+            + std::string(maxBodyBytes / 2, 'x'));
+    fleet.checkWithSockets();
+}
+
+TEST_CASE("Bodies far over the limit on as many connections as the descriptors allow")
+{
+    small_fleet fleet(manyDescriptors);
+    crowd callers(fleet.callersEndpoint(0), mostCallers,
+        head("Content-Length: 4294967296\r\n") + std::string(megabyte / 4, 'x'));
+    fleet.checkWithSockets();
+}
--- a/test/proxy_process/platform_standins.cpp
+++ b/test/proxy_process/platform_standins.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <fstream>
 #include <numeric>
+#include <set>
 #include <sstream>
 
 namespace pomelohub {
@@ -143,6 +144,34 @@
     return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
 }
 
+std::size_t proxy_fleet::unreadBytes(std::size_t node) const
+{
+    constexpr std::string_view socketPrefix = "socket:[";
+    std::set<std::string> inodes;
+    std::error_code error; // The process may have ended, or have closed a descriptor meanwhile.
+    std::filesystem::directory_iterator entries(
+        "/proc/" + std::to_string(m_instances[node]->process->id()) + "/fd", error);
+    for (const auto& entry : entries) {
+        auto target = std::filesystem::read_symlink(entry.path(), error).string();
+        if (target.starts_with(socketPrefix))
+            inodes.insert(target.substr(socketPrefix.size(), target.size() - socketPrefix.size() - 1));
+    }
+    std::size_t bytes = 0;
+    std::ifstream sockets("/proc/net/tcp");
+    std::string line;
+    std::getline(sockets, line);
+    while (std::getline(sockets, line)) {
+        std::istringstream fields(line);
+        std::string number, local, remote, state, queues, timer, retransmits, user, timeout, inode;
+        fields >> number >> local >> remote >> state >> queues >> timer >> retransmits >> user >> timeout
+            >> inode;
+        constexpr std::string_view listening = "0A"; // Its queue counts connections.
+        if (state != listening && inodes.contains(inode))
+            bytes += std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
+    }
+    return bytes;
+}
+
 void proxy_fleet::signal(std::size_t node, int number) { m_instances[node]->process->signal(number); }
 
 std::optional<int> proxy_fleet::exitStatus(std::size_t node) { return m_instances[node]->process->poll(); }
--- a/test/proxy_process/platform_standins.h
+++ b/test/proxy_process/platform_standins.h
@@ -80,6 +80,9 @@
     /** Most memory that a node's process has had resident, in bytes; 0 if it has ended. */
     std::size_t peakMemory(std::size_t node) const;
 
+    /** Bytes that have arrived at the sockets of a node's process and that it has not read. */
+    std::size_t unreadBytes(std::size_t node) const;
+
     /** How many descriptors a node's process has open; 0 if it has ended. */
     std::size_t openDescriptors(std::size_t node) const;
 
