Bound the memory of callers' connections by that of the instance

Clients that keep to no limit ended a process.

While the bound on bytes is reached, requests over 4 KB are held back, reads are short, and a connection with an unanswered request is not read; stalled connections end every 100 ms rather than with the next growth only. A held-back request counts with the 128 KB that its socket may hold, and the kernel no longer grows that buffer. Responses are not held back, as requests that hold memory may wait for them.

--- a/packages/decisions/src/growth_controller.cpp
+++ b/packages/decisions/src/growth_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace pomelohub {
 
@@ -15,11 +16,29 @@
     m_bytes = bytes;
 }
 
+void growing_message::setPaused(bool isPaused)
+{
+    if (isPaused == std::exchange(m_isPaused, isPaused) || m_bufferBytes == 0 || !m_account)
+        return;
+    if (isPaused) {
+        setBytes(m_account, m_bytes + m_bufferBytes);
+        m_bufferCharge = memory_charge(m_account, byte_holder::receiveBuffer);
+        m_bufferCharge.resize(m_bufferBytes);
+    } else {
+        setBytes(m_account, m_bytes - m_bufferBytes);
+        m_bufferCharge.resize(0);
+    }
+}
+
 growth growth_controller::recordGrowth(
     growing_message& message, std::size_t bytes, std::optional<std::size_t> remainingBytes, instant now)
 {
-    if (bytes <= m_policy.smallMessageBytes)
+    bool isHeldBack = message.m_bufferBytes > 0 && m_account.isExhausted();
+    if (bytes <= (isHeldBack ? m_policy.smallestMessageBytes : m_policy.smallMessageBytes)) {
+        if (message.is_linked())
+            remove(message);
         return growth::proceed;
+    }
     if (!message.is_linked())
         m_growing.push_back(message);
     message.setBytes(&m_account, bytes);
@@ -32,8 +51,10 @@
         return growth::proceed;
     if (!m_account.isExhausted() && selectNext(now) == &message)
         return growth::proceed;
-    message.m_isPaused = true;
+    message.setPaused(true);
     resumePaused(now);
+    if (!message.is_linked())
+        return growth::ended;
     return message.m_isPaused ? growth::pause : growth::proceed;
 }
 
@@ -47,8 +68,8 @@
 
 void growth_controller::remove(growing_message& message)
 {
+    message.setPaused(false);
     message.setBytes(nullptr, 0);
-    message.m_isPaused = false;
     message.unlink();
 }
 
@@ -118,6 +139,18 @@
     return true;
 }
 
+bool growth_controller::isSmall(const growing_message& message) const
+{
+    return message.m_bytes - message.m_bufferCharge.bytes() <= m_policy.smallMessageBytes;
+}
+
+growing_message* growth_controller::findPausedSmall()
+{
+    auto found = std::find_if(m_growing.begin(), m_growing.end(),
+        [this](const growing_message& each) { return each.m_isPaused && isSmall(each); });
+    return found == m_growing.end() ? nullptr : &*found;
+}
+
 growing_message* growth_controller::findPaused()
 {
     auto found = std::find_if(
@@ -129,7 +162,7 @@
 {
     // A hook may change the list, so each round starts anew.
     auto resume = [now](growing_message& message) {
-        message.m_isPaused = false;
+        message.setPaused(false);
         message.m_grewAt = now;
         auto hook = message.m_hooks.resume;
         hook();
@@ -142,6 +175,12 @@
             return;
         resume(*paused);
     }
+    while (!m_account.isExhausted()) {
+        auto* small = findPausedSmall();
+        if (!small)
+            break;
+        resume(*small);
+    }
     if (m_account.isExhausted())
         return;
     auto* next = selectNext(now);
--- a/packages/decisions/src/growth_controller.h
+++ b/packages/decisions/src/growth_controller.h
@@ -38,15 +38,22 @@
     growing_message& operator=(const growing_message&) = delete;
 
     void setHooks(hooks hooks) { m_hooks = std::move(hooks); }
+
+    /** Allows the controller to hold back the message at any size but the smallest. Not for a response, since
+     * requests that hold memory may wait for it. \param bufferBytes that its socket may hold meanwhile. */
+    void allowHoldingBack(std::size_t bufferBytes) { m_bufferBytes = bufferBytes; }
     bool isPaused() const { return m_isPaused; }
 
 private:
     friend class growth_controller;
 
     void setBytes(memory_account* account, std::size_t bytes);
+    void setPaused(bool isPaused);
 
     hooks m_hooks;
     memory_account* m_account = nullptr; ///< That counts m_bytes as growing.
+    std::size_t m_bufferBytes = 0; ///< Zero if only a large message may be held back.
+    memory_charge m_bufferCharge; ///< Held while the message is paused.
     std::size_t m_bytes = 0;
     std::optional<std::size_t> m_remainingBytes;
     instant m_grewAt {};
@@ -68,17 +75,20 @@
 };
 
 struct growth_policy {
-    /** Messages up to this size are never paused or ended. */
+    /** Messages up to this size are paused only if they allow it and the account is exhausted. */
     std::size_t smallMessageBytes = 32 << 10;
     /** A message whose sender has sent nothing for this long does not hold up others. */
     duration stallTime = std::chrono::milliseconds(200);
+    /** Messages up to this size are never paused or ended. */
+    std::size_t smallestMessageBytes = 4 << 10;
 };
 
 /** While the account is pressed, large messages grow one at a time: the one with the fewest bytes left, or
- * the oldest one of those whose length is unknown. Small ones are always received, so that large ones cannot
- * hold them up. While the account is exhausted, large messages wait for complete ones to end. The largest
- * stalled response is ended, or else the largest message that grows if growing messages hold most of the
- * bytes. Thread safety: one thread; the account is shared by all. */
+ * the oldest one of those whose length is unknown. Small ones are received, so that large ones cannot hold
+ * them up, but for those that allow to be held back while the account is exhausted. While the account is
+ * exhausted, large messages wait for complete ones to end. The largest stalled response is ended, or else the
+ * largest message that grows if growing messages hold most of the bytes. Thread safety: one thread; the
+ * account is shared by all. */
 class growth_controller {
 public:
     growth_controller(memory_account& account, growth_policy policy)
@@ -111,7 +121,9 @@
     bool hasPaused() { return findPaused() != nullptr; }
 
 private:
+    bool isSmall(const growing_message& message) const;
     growing_message* findPaused();
+    growing_message* findPausedSmall();
     growing_message* selectNext(instant now);
     void relieve();
     bool endLargestStalled();
--- a/packages/decisions/src/memory_account.cpp
+++ b/packages/decisions/src/memory_account.cpp
@@ -5,11 +5,13 @@
 namespace {
 
     constexpr std::array<std::string_view, byteHolderCount> holderNames { "caller_request",
-        "backend_response", "peer_message", "unsent_response" };
+        "backend_response", "peer_message", "unsent_response", "receive_buffer" };
 
     constexpr double pauseFraction = 0.15;
     constexpr double maxFraction = 0.35;
     constexpr double mostlyGrowingFraction = 0.75;
+    constexpr double connectionFraction = 0.25;
+    constexpr std::size_t connectionBytes = 20 << 10; ///< A read buffer, and the state of the connection.
 
     std::size_t fractionOf(std::size_t bytes, double fraction)
     {
@@ -22,7 +24,8 @@
 
 memory_limits memory_limits::forProcess(std::size_t processBytes)
 {
-    return { fractionOf(processBytes, pauseFraction), fractionOf(processBytes, maxFraction) };
+    return { fractionOf(processBytes, pauseFraction), fractionOf(processBytes, maxFraction),
+        fractionOf(processBytes, connectionFraction) / connectionBytes };
 }
 
 memory_account::memory_account(memory_limits limits)
--- a/packages/decisions/src/memory_account.h
+++ b/packages/decisions/src/memory_account.h
@@ -20,8 +20,9 @@
     backendResponse, ///< The body of a response of the backend server.
     peerMessage, ///< What other nodes send.
     unsentResponse, ///< What callers have not taken.
+    receiveBuffer, ///< What the sockets of requests that are held back may hold.
 };
-constexpr std::size_t byteHolderCount = 4;
+constexpr std::size_t byteHolderCount = 5;
 
 /** Name of \p holder in metrics. */
 std::string_view toText(byte_holder holder);
@@ -31,6 +32,7 @@
 struct memory_limits {
     std::size_t pauseBytes = 0; ///< Above it, large messages are received one at a time on each thread.
     std::size_t maxBytes = 0; ///< Above it, large messages are not received, and the largest may be ended.
+    std::size_t maxConnections = 0; ///< From callers; each has buffers that are not counted.
 
     static memory_limits forProcess(std::size_t processBytes);
 };
--- a/packages/proxy/src/http_message.cpp
+++ b/packages/proxy/src/http_message.cpp
@@ -96,6 +96,14 @@
     return text;
 }
 
+std::size_t headBytesOf(const http_message& request)
+{
+    auto bytes = request.method.size() + request.target.size();
+    for (const auto& [name, value] : request.fields)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
 bool mayHaveBody(const http_message& message) { return message.status != 204 && message.status != 304; }
 
 std::string serializeResponseHead(const http_message& message, bool isClosing, bool isBodiless)
--- a/packages/proxy/src/http_message.h
+++ b/packages/proxy/src/http_message.h
@@ -50,6 +50,9 @@
  * is empty, except for POST, PUT and PATCH. */
 std::string serializeRequestHead(const http_message& message);
 
+/** Number of bytes of the head of a request, without those that only separate its parts. */
+std::size_t headBytesOf(const http_message& request);
+
 /** Whether a response with the status of \p message can have a body. */
 bool mayHaveBody(const http_message& message);
 
--- a/packages/proxy/src/http_reader.h
+++ b/packages/proxy/src/http_reader.h
@@ -66,6 +66,9 @@
     bool isInMessage() const { return m_isInMessage; }
     bool isInHead() const { return m_isInMessage && !m_isHeadComplete; }
 
+    /** Number of bytes of the head of the present message that have been received; zero between messages. */
+    std::size_t headBytes() const { return m_headBytes; }
+
     /** Number of bytes of the body of the present message that have been received. */
     std::size_t bodyBytes() const { return m_message.body.size(); }
 
--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -9,6 +9,9 @@
     using tcp = asio::ip::tcp;
 
     constexpr std::size_t readBufferBytes = 16'384;
+    constexpr std::size_t readBytesUnderPressure = 4'096; ///< While the memory for messages is used up.
+    /** What the kernel sets aside for a socket with the receive buffer of setReceiveBuffer(). */
+    constexpr std::size_t receiveBufferBytes = 128 << 10;
     constexpr std::size_t maxUnsentBytes = 1
         << 20; ///< Reading pauses while the client doesn't read its responses.
     /** How long input is still read and discarded after the connection has been shut down for writing.
@@ -47,6 +50,7 @@
               { nullptr, [this] { return makeBody(m_throttle, byte_holder::callerRequest); } })
     {
         ++m_server.m_connections;
+        m_growth.allowHoldingBack(receiveBufferBytes);
         m_growth.setHooks({ [this] { resumeReading(); }, [this] { giveUpRequest(); } });
         m_unsentMessage.end = [this] { giveUpResponse(); };
         m_openConnection.end = [this] { giveUpConnection(); };
@@ -62,6 +66,7 @@
         if (m_server.m_hooks.throttle) {
             m_throttle = m_server.m_hooks.throttle();
             m_unsentCharge = m_throttle->makeCharge(byte_holder::unsentResponse);
+            m_headCharge = m_throttle->makeCharge(byte_holder::callerRequest);
         }
         recordActivity();
         recordWaiting();
@@ -123,6 +128,10 @@
         handle<http_responder> responder(
             new http_responder(this, message.method == "HEAD", m_server.m_hooks.clock().monotonic));
         responder->m_isLastResponse = isLast;
+        if (m_throttle) {
+            responder->m_headCharge = m_throttle->makeCharge(byte_holder::callerRequest);
+            responder->m_headCharge.resize(headBytesOf(message));
+        }
         m_isDiscardingInput = m_isDiscardingInput || isLast;
         m_pending.push_back(responder);
         ++m_server.m_pending;
@@ -144,8 +153,10 @@
     /** Whether requests may be taken from the connection now. */
     bool mayTakeRequests() const
     {
-        return !m_isClosed && !isDiscarding() && !m_growth.isPaused()
-            && m_pending.size() < m_limits.maxPipelinedRequests && m_unsent.size() < maxUnsentBytes;
+        bool isUnderPressure = m_throttle && m_throttle->isExhausted();
+        auto maxPending = isUnderPressure ? 1 : m_limits.maxPipelinedRequests;
+        return !m_isClosed && !isDiscarding() && !m_growth.isPaused() && m_pending.size() < maxPending
+            && m_unsent.size() < maxUnsentBytes;
     }
 
     // Reading continues while requests are pending, to detect that the client disconnects. After the last
@@ -160,7 +171,9 @@
         if (m_isUsingInput || m_isClosed || !(isDiscarding() || mayTakeRequests()))
             return;
         m_isUsingInput = true;
-        m_socket.async_read_some(asio::buffer(m_input),
+        bool isUnderPressure = m_throttle && m_throttle->isExhausted();
+        m_socket.async_read_some(
+            asio::buffer(m_input, isUnderPressure ? readBytesUnderPressure : m_input.size()),
             [self = handle<http_server_connection>(this)](
                 std::error_code error, std::size_t length) { self->onRead(error, length); });
     }
@@ -202,6 +215,7 @@
         if (isDiscarding())
             m_unparsed = {};
         m_isUsingInput = false;
+        recordHead();
         bool mayReceive = m_unparsed.empty() && mayReceiveMore();
         recordWaiting();
         return mayReceive;
@@ -220,10 +234,13 @@
     {
         if (!m_throttle || m_isClosed || !m_reader.isInMessage() || isDiscarding())
             return true;
-        auto next = m_throttle->recordGrowth(m_growth, m_reader.bodyBytes(), m_reader.remainingBodyBytes());
+        auto next = m_throttle->recordGrowth(
+            m_growth, m_reader.headBytes() + m_reader.bodyBytes(), m_reader.remainingBodyBytes());
         return next == growth::proceed;
     }
 
+    void recordHead() { m_headCharge.resize(m_isClosed ? 0 : m_reader.headBytes()); }
+
     /** Refuses a request of which only a part was received, so that it has not run. */
     void giveUpRequest()
     {
@@ -421,6 +438,7 @@
             m_throttle->finish(m_growth);
         }
         m_reader.takePartialMessage();
+        recordHead();
         cancelPending();
         setDelivering(false);
     }
@@ -437,6 +455,7 @@
     unsent_message m_unsentMessage; ///< All responses that are being sent.
     open_connection m_openConnection;
     memory_charge m_unsentCharge;
+    memory_charge m_headCharge; ///< Of the request that is being received.
     std::string m_unsent;
     std::string m_writing;
     std::size_t m_writtenBytes = 0; ///< Of m_writing.
@@ -504,6 +523,7 @@
     auto limits = m_hooks.limits();
     bool isFull = m_connections >= limits.maxConnections;
     setNoDelay(socket);
+    limitReceiveBuffer(socket);
     auto executor = socket.get_executor();
     handle<http_server_connection> connection(new http_server_connection(*this, std::move(socket), limits));
     asio::dispatch(executor, [this, connection, isFull] {
--- a/packages/proxy/src/http_server.h
+++ b/packages/proxy/src/http_server.h
@@ -44,6 +44,7 @@
     handle<http_server_connection> m_connection;
     std::optional<http_message> m_response;
     instant m_receivedAt;
+    memory_charge m_headCharge; ///< Of the request.
     bool m_isBodiless;
     bool m_isCancelled = false;
     bool m_isLastResponse = false;
--- a/packages/proxy/src/proxy_node.cpp
+++ b/packages/proxy/src/proxy_node.cpp
@@ -2,6 +2,7 @@
 
 #include "hashing.h"
 
+#include <algorithm>
 #include <random>
 
 namespace pomelohub {
@@ -95,7 +96,8 @@
 http_server_limits proxy_node::callerLimits() const
 {
     http_server_limits limits;
-    limits.maxConnections = m_settings.maxConnections;
+    limits.maxConnections = std::min(
+        m_settings.maxConnections, memory_limits::forProcess(m_settings.memoryBytes).maxConnections);
     auto snapshot = m_controller.snapshot();
     if (!snapshot || !snapshot->routes)
         return limits;
--- a/packages/proxy/src/receive_throttle.cpp
+++ b/packages/proxy/src/receive_throttle.cpp
@@ -42,7 +42,9 @@
     if (!m_isChecking)
         return;
     m_timer.startAfter(checkInterval, [this] {
-        m_controller.resumePaused(m_clock().monotonic);
+        auto now = m_clock().monotonic;
+        while (isExhausted() && m_connections.endForMemory(now)) { }
+        m_controller.resumePaused(now);
         checkPaused();
     });
 }
--- a/packages/proxy/src/receive_throttle.h
+++ b/packages/proxy/src/receive_throttle.h
@@ -32,6 +32,9 @@
     growth recordGrowth(
         growing_message& message, std::size_t bytes, std::optional<std::size_t> remainingBytes);
 
+    /** Whether the process holds as many bytes as it may. */
+    bool isExhausted() { return m_controller.account().isExhausted(); }
+
     /** As growth_controller::finish(). */
     void finish(growing_message& message) { m_controller.finish(message, m_clock().monotonic); }
 
--- a/packages/proxy/src/socket_options.cpp
+++ b/packages/proxy/src/socket_options.cpp
@@ -17,6 +17,9 @@
     /** A connection is closed if sent data is not acknowledged within this time. */
     constexpr std::chrono::milliseconds userTimeout { 1500 };
 
+    /** The kernel doubles it for its own use. */
+    constexpr int receiveBufferBytes = 64 << 10;
+
     void setTcpOption(asio::ip::tcp::socket& socket, int option, std::int64_t value)
     {
         auto number = static_cast<int>(value);
@@ -31,6 +34,12 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
+void limitReceiveBuffer(asio::ip::tcp::socket& socket)
+{
+    std::error_code ignored; // Without the option, the kernel grows the buffer of a fast connection.
+    socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+}
+
 void enableKeepAlive(asio::ip::tcp::socket& socket)
 {
     setNoDelay(socket);
--- a/packages/proxy/src/socket_options.h
+++ b/packages/proxy/src/socket_options.h
@@ -11,6 +11,10 @@
  * latency. Thread safety: that of \p socket. */
 void setNoDelay(asio::ip::tcp::socket& socket);
 
+/** Bounds what the kernel holds of a connection that is not read, which counts as memory of the instance. A
+ * failure is ignored. Thread safety: that of \p socket. */
+void limitReceiveBuffer(asio::ip::tcp::socket& socket);
+
 /** Sets TCP_NODELAY, TCP keepalive and TCP_USER_TIMEOUT on an outgoing HTTP/1.1 connection. They close a
  * connection whose peer has become unreachable, for example because a device on the path dropped its state
  * without sending a reset. A failure to set an option is ignored, since the connection works without it.
--- a/test/proxy/growth_controller.cpp
+++ b/test/proxy/growth_controller.cpp
@@ -235,3 +235,49 @@
     CHECK(smallest.maxBytes * 2 < 160 * megabyte);
     CHECK(memory_limits::forProcess(320 * megabyte).maxBytes == 2 * smallest.maxBytes);
 }
+
+// Guards against a crowd of small requests that are each below the size of those held back.
+TEST_CASE(
+    "At the bound small requests of callers are held back, their sockets count, and small responses go on")
+{
+    constexpr std::size_t bufferBytes = 128 * kilobyte;
+    growth_fixture fixture;
+    auto& complete = fixture.add();
+    complete.charge.resize(20 * megabyte);
+    auto& request = fixture.add();
+    request.growing.allowHoldingBack(bufferBytes);
+    CHECK(fixture.grow(request, 4 * kilobyte) == growth::proceed);
+    CHECK(fixture.grow(fixture.add(), 16 * kilobyte) == growth::proceed);
+    CHECK(fixture.account.heldBytes(byte_holder::receiveBuffer) == 0);
+    CHECK(fixture.grow(request, 12 * kilobyte) == growth::pause);
+    CHECK(fixture.account.heldBytes(byte_holder::receiveBuffer) == bufferBytes);
+    complete.charge.resize(0);
+    fixture.controller.resumePaused(fixture.now);
+    CHECK(request.resumes == 1);
+    CHECK(fixture.account.heldBytes(byte_holder::receiveBuffer) == 0);
+    CHECK(fixture.grow(request, 8 * kilobyte) == growth::proceed);
+    CHECK_FALSE(request.hasEnded);
+}
+
+TEST_CASE("Requests that are held back are ended when what their sockets may hold exceeds the bound")
+{
+    growth_fixture fixture;
+    constexpr int crowd = 1000;
+    int ended = 0;
+    for (int i = 0; i < crowd; ++i) {
+        auto& request = fixture.add();
+        request.growing.allowHoldingBack(128 * kilobyte);
+        fixture.grow(request, 65 * kilobyte, megabyte);
+        CHECK(fixture.account.heldBytes() <= 21 * megabyte);
+    }
+    for (auto& each : fixture.messages)
+        ended += each.hasEnded ? 1 : 0;
+    CHECK(ended > 0);
+    CHECK(ended < crowd);
+}
+
+TEST_CASE("The connections that a process accepts follow from its memory")
+{
+    CHECK(memory_limits::forProcess(64 * megabyte).maxConnections < 1000);
+    CHECK(memory_limits::forProcess(160 * megabyte).maxConnections > 2000);
+}
