Use a backend server again that started with an earlier wall clock

Callers lost a server for good: a heartbeat whose start is earlier than the newest known one was taken for a late one of a former start, so that a server which started again after its machine's clock was set back never got a request.

Heartbeats of a former start come while the newest one is heard, which beats every 1.5 s. One that comes after five seconds of silence is from a start with an earlier clock and is accepted; if that was wrong, the other start is accepted again in the same manner. A known deregistration of a newer start is not overruled. Without a time of start nothing changes.

--- a/packages/decisions/src/backend_identity.cpp
+++ b/packages/decisions/src/backend_identity.cpp
@@ -21,10 +21,21 @@
     return m_current->startedAt == heartbeat.startedAt;
 }
 
+bool backend_identity::isFromFormerStart(const backend_heartbeat& heartbeat) const
+{
+    return heartbeat.startedAt < m_newestStart || heartbeat.startedAt == m_replacedStart;
+}
+
 heartbeat_effect backend_identity::applyHeartbeat(const backend_heartbeat& heartbeat, instant now)
 {
-    if (heartbeat.startedAt < m_newestStart)
-        return heartbeat_effect::stale;
+    if (isFromFormerStart(heartbeat)) {
+        // Late heartbeats of a former start come while the newest one is heard. Otherwise the wall clock went
+        // back.
+        bool isSilent = m_heardAt && now - *m_heardAt > maxHeartbeatDelay;
+        if (!isSilent || heartbeat.startedAt == wall_time {})
+            return heartbeat_effect::stale;
+        m_replacedStart = m_newestStart;
+    }
     bool isSame = isSameStart(heartbeat);
     if (isSame && heartbeat.sequence <= m_current->sequence)
         return heartbeat_effect::stale;
@@ -42,6 +53,7 @@
     if (isSame && m_current->isDraining)
         next.isDraining = true;
     m_current = next;
+    m_heardAt = now;
     m_newestStart = heartbeat.startedAt;
     m_warmupEndsAt = now + heartbeat.warmupLeft;
     if (!isSame)
@@ -61,6 +73,8 @@
         m_current->id = id;
         m_current->startedAt = startedAt;
     }
+    if (startedAt > m_newestStart)
+        m_heardAt.reset();
     m_newestStart = std::max(m_newestStart, startedAt);
     m_hasKnownAny = true;
     m_hasLeft = true;
--- a/packages/decisions/src/backend_identity.h
+++ b/packages/decisions/src/backend_identity.h
@@ -74,9 +74,14 @@
 
 private:
     bool isSameStart(const backend_heartbeat& heartbeat) const;
+    bool isFromFormerStart(const backend_heartbeat& heartbeat) const;
 
     std::optional<backend_heartbeat> m_current;
     wall_time m_newestStart {}; ///< Kept by forget(), so that late heartbeats of older starts are ignored.
+    /** When the newest start was last heard of; nothing if only its deregistration is known. */
+    std::optional<instant> m_heardAt;
+    /** A start that was replaced by one with an earlier wall clock. */
+    std::optional<wall_time> m_replacedStart;
     bool m_hasLeft = false;
     bool m_hasKnownAny = false; ///< Since the start of this process.
     std::optional<instant> m_unconfirmedSince; ///< Time of the first heartbeat of an unconfirmed start.
--- a/test/proxy/backend_identity.cpp
+++ b/test/proxy/backend_identity.cpp
@@ -150,3 +150,52 @@
     identity.applyHeartbeat(heartbeatOf("b", 9000ms, 4), start + 1s);
     CHECK(identity.isAccepting());
 }
+
+// Guards against a restarted server that never gets a request again because its wall clock was set back.
+TEST_CASE("A server that starts again with an earlier wall clock is used again once its former start cannot "
+          "be late")
+{
+    backend_identity identity;
+    identity.applyHeartbeat(heartbeatOf("a", 9000ms, 1), start);
+    SUBCASE("under its id or another one")
+    {
+        for (const char* id : { "a", "b" }) {
+            backend_identity other = identity;
+            CHECK(
+                other.applyHeartbeat(heartbeatOf(id, 5000ms, 1), start + 20s) == heartbeat_effect::newStart);
+            CHECK(other.isAccepting());
+            CHECK(other.applyHeartbeat(heartbeatOf("a", 9000ms, 9), start + 21s) == heartbeat_effect::stale);
+            CHECK(
+                other.applyHeartbeat(heartbeatOf(id, 5000ms, 2), start + 22s) == heartbeat_effect::accepted);
+        }
+    }
+    SUBCASE("also if it had started shortly before")
+    {
+        CHECK(identity.applyHeartbeat(heartbeatOf("a", 5000ms, 1), start + 4s) == heartbeat_effect::stale);
+        CHECK(identity.applyHeartbeat(heartbeatOf("a", 5000ms, 2), start + 6s) == heartbeat_effect::newStart);
+        CHECK(identity.isAccepting());
+    }
+    SUBCASE("but not while the known one is heard")
+    {
+        for (std::uint64_t sequence = 2; sequence < 8; ++sequence) {
+            auto now = start + 2s * sequence;
+            CHECK(identity.applyHeartbeat(heartbeatOf("a", 9000ms, sequence), now)
+                == heartbeat_effect::accepted);
+            CHECK(identity.applyHeartbeat(heartbeatOf("b", 5000ms, 1), now + 1s) == heartbeat_effect::stale);
+        }
+    }
+    SUBCASE("and gives way when it falls silent and the other one is heard after all")
+    {
+        CHECK(identity.applyHeartbeat(heartbeatOf("b", 5000ms, 1), start + 8s) == heartbeat_effect::newStart);
+        CHECK(identity.applyHeartbeat(heartbeatOf("a", 9000ms, 2), start + 9s) == heartbeat_effect::stale);
+        CHECK(
+            identity.applyHeartbeat(heartbeatOf("a", 9000ms, 6), start + 14s) == heartbeat_effect::newStart);
+        CHECK(identity.isAccepting());
+    }
+    SUBCASE("and not while a deregistration is the newest that is known")
+    {
+        CHECK(identity.deregister(backend_server_id("b"), wall_time(12'000ms), wall_time(13'000ms)));
+        CHECK(identity.applyHeartbeat(heartbeatOf("a", 9000ms, 2), start + 20s) == heartbeat_effect::stale);
+        CHECK(identity.isLeaving());
+    }
+}
