Notice callers that leave while the memory for messages is used up

A connection with an unanswered request was not read at all under pressure, so that a caller that left was not noticed and its request was held to its end. Input is read ahead into the connection's own buffer as before; only taking a further request from it waits.

--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -150,15 +150,18 @@
 
     bool isDiscarding() const { return m_isDiscardingInput || m_isClosing; }
 
-    /** Whether requests may be taken from the connection now. */
-    bool mayTakeRequests() const
+    bool isUnderPressure() const { return m_throttle && m_throttle->isExhausted(); }
+
+    bool mayRead() const
     {
-        bool isUnderPressure = m_throttle && m_throttle->isExhausted();
-        auto maxPending = isUnderPressure ? 1 : m_limits.maxPipelinedRequests;
-        return !m_isClosed && !isDiscarding() && !m_growth.isPaused() && m_pending.size() < maxPending
-            && m_unsent.size() < maxUnsentBytes;
+        return !m_isClosed && !isDiscarding() && !m_growth.isPaused()
+            && m_pending.size() < m_limits.maxPipelinedRequests && m_unsent.size() < maxUnsentBytes;
     }
 
+    /** Whether requests may be taken from the input now: one at a time while the memory for messages is used
+     * up. */
+    bool mayTakeRequests() const { return mayRead() && (m_pending.empty() || !isUnderPressure()); }
+
     // Reading continues while requests are pending, to detect that the client disconnects. After the last
     // request, input is discarded until the connection is closed. A response that is ready at once calls this
     // while its request is being handled; parseInput() goes on when the handler has returned.
@@ -168,12 +171,11 @@
             return;
         if (!m_unparsed.empty() && !parseInput())
             return;
-        if (m_isUsingInput || m_isClosed || !(isDiscarding() || mayTakeRequests()))
+        if (m_isUsingInput || m_isClosed || !(isDiscarding() || mayRead()))
             return;
         m_isUsingInput = true;
-        bool isUnderPressure = m_throttle && m_throttle->isExhausted();
         m_socket.async_read_some(
-            asio::buffer(m_input, isUnderPressure ? readBytesUnderPressure : m_input.size()),
+            asio::buffer(m_input, isUnderPressure() ? readBytesUnderPressure : m_input.size()),
             [self = handle<http_server_connection>(this)](
                 std::error_code error, std::size_t length) { self->onRead(error, length); });
     }
