Ask a server that does not answer again with its next heartbeat only

Since the limit of starts, a question that failed was asked again at once, without end, if the node had just started and its server reset each connection. Granted slots no longer count towards the question, as an answer does not free them; the requests that follow do.

--- a/packages/decisions/src/start_window.cpp
+++ b/packages/decisions/src/start_window.cpp
@@ -39,8 +39,18 @@
 
 std::size_t start_window::remaining(instant now) const
 {
-    auto used = static_cast<std::size_t>(m_starts.end() - firstCounted(now)) + m_reserved;
-    return *m_limit - std::min(*m_limit, used);
+    return *m_limit - std::min(*m_limit, countedStarts(now) + m_reserved);
+}
+
+std::size_t start_window::countedStarts(instant now) const
+{
+    return static_cast<std::size_t>(m_starts.end() - firstCounted(now));
+}
+
+bool start_window::needsConfirmation(instant now) const
+{
+    constexpr double usedFraction = 0.75;
+    return m_limit && static_cast<double>(countedStarts(now)) >= usedFraction * static_cast<double>(*m_limit);
 }
 
 duration start_window::waitFor(double count, instant now) const
@@ -49,11 +59,11 @@
     if (!m_limit || wanted <= remaining(now))
         return {};
     auto missing = wanted - remaining(now) - 1;
-    auto first = firstCounted(now);
-    auto counted = static_cast<std::size_t>(m_starts.end() - first);
     auto index = missing % *m_limit;
     // Of a request that was granted a slot it is not known when it will be sent.
-    auto wait = index < counted ? *(first + static_cast<std::ptrdiff_t>(index)) + span - now : span;
+    auto wait = index < countedStarts(now)
+        ? *(firstCounted(now) + static_cast<std::ptrdiff_t>(index)) + span - now
+        : span;
     return wait + span * static_cast<std::int64_t>(missing / *m_limit);
 }
 
--- a/packages/decisions/src/start_window.h
+++ b/packages/decisions/src/start_window.h
@@ -1,6 +1,6 @@
 /** \file
- * Defines start_window, which counts the requests that were sent to one backend server within the last
- * second, and those that hold a slot and may still be sent.
+ * Defines start_window, which limits the requests that are sent to one backend server in any second since it
+ * is last known to have been warm. Between two signs of its warmth a server may have turned cold.
  */
 #pragma once
 
@@ -36,8 +36,9 @@
     /** Whether one more request may be granted a slot. */
     bool mayStart(instant now) const { return !m_limit || remaining(now) > 0; }
 
-    /** Whether most of the limit is used up, so that the server is to be asked whether it is warm. */
-    bool needsConfirmation(instant now) const { return m_limit && remaining(now) * 4 <= *m_limit; }
+    /** Whether requests that were sent have used up most of the limit, so that the server is to be asked
+     * whether it is warm. */
+    bool needsConfirmation(instant now) const;
 
     /** Time until \p count requests may have been sent if no confirmation comes; zero when there is no limit.
      */
@@ -45,6 +46,7 @@
 
 private:
     std::size_t remaining(instant now) const;
+    std::size_t countedStarts(instant now) const;
     std::deque<instant>::const_iterator firstCounted(instant now) const;
 
     std::optional<std::size_t> m_limit;
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -437,14 +437,26 @@
     m_identity.forget();
 }
 
-/** Asks the server for its health: one that this process knows by a possibly late heartbeat only, whether it
- * has announced its shutdown to an earlier process of this node; one that gets many requests, whether it is
- * warm. */
+/** Asks a server that this process knows by a possibly late heartbeat only whether it has announced its
+ * shutdown to an earlier process of this node. Called for each heartbeat, and so repeated until it answers.
+ */
+void backend_gateway::confirmServer(instant now)
+{
+    if (m_identity.needsConfirmation())
+        askServer(now);
+}
+
+/** Asks a server that gets many requests whether it is still warm. */
+void backend_gateway::confirmWarmth(instant now)
+{
+    bool isDue = now >= m_nextWarmthQuestion && m_queue.needsWarmthConfirmation(now);
+    if (isDue && m_identity.isAccepting() && !m_identity.isCold(now))
+        askServer(now);
+}
+
 void backend_gateway::askServer(instant now)
 {
-    bool isWarmthDue = m_identity.isAccepting() && !m_identity.isCold(now) && now >= m_nextWarmthQuestion
-        && m_queue.needsWarmthConfirmation(now);
-    if (m_question || (!m_identity.needsConfirmation() && !isWarmthDue))
+    if (m_question)
         return;
     auto snapshot = m_hooks.snapshot();
     const auto* profile = profileIn(snapshot);
@@ -610,7 +622,7 @@
     m_queue.setSlots(heartbeat.slots, now);
     if (m_identity.isLeaving() && !wasDraining)
         handleLeaving(now);
-    askServer(now);
+    confirmServer(now);
     return effect;
 }
 
@@ -681,7 +693,7 @@
     auto now = m_hooks.clock().monotonic;
     auto snapshot = m_hooks.snapshot();
     applyWarmupLimit(now);
-    askServer(now);
+    confirmServer(now);
     if (snapshot && snapshot->evacuated.contains(m_dataCentre))
         m_queue.refuseAll(
             refusal(refusal_reason::dataCentreOutOfService, "the data centre takes no new work"), now);
@@ -710,7 +722,7 @@
 void backend_gateway::scheduleNextStart()
 {
     updateRetryShare();
-    askServer(m_hooks.clock().monotonic);
+    confirmWarmth(m_hooks.clock().monotonic);
     m_activeCount = m_queue.inUse() + m_queue.waitingCount();
     if (m_activeCount > 0)
         scheduleChecks(m_hooks.clock().monotonic);
--- a/packages/proxy/src/backend_gateway.h
+++ b/packages/proxy/src/backend_gateway.h
@@ -169,6 +169,8 @@
     void recordSignOfLife(instant now);
     void verifyServer();
     void handleVerification(const handle<http_client_connection>& connection, std::error_code error);
+    void confirmServer(instant now);
+    void confirmWarmth(instant now);
     void askServer(instant now);
     void handleServerAnswer(const http_call_result& answer);
     void applyServerAnswer(const http_message& answer, instant now);
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -560,3 +560,14 @@
         CHECK(fixture.isServing());
     }
 }
+
+// Guards against a node that asks a server without end which resets each connection.
+TEST_CASE(
+    "A server that does not answer the question of its node is asked again with its next heartbeat only")
+{
+    restarted_gateway fixture("reset");
+    fixture.waitForAnswer();
+    auto settled = std::chrono::steady_clock::now() + 200ms;
+    runUntil(fixture.context, [&] { return std::chrono::steady_clock::now() > settled; });
+    CHECK(fixture.backend.connections == 1);
+}
