--- a/test/hostile/crowd.cpp
+++ b/test/hostile/crowd.cpp
@@ -234,3 +234,58 @@
         head("Content-Length: 4294967296\r\n") + std::string(megabyte / 4, 'x'));
     fleet.checkWithSockets();
 }
+
+namespace {
+
+/** A crowd at each node. */
+struct crowds_everywhere {
+    crowds_everywhere(small_fleet& fleet, std::size_t size, const std::string& bytes)
+    {
+        for (std::size_t node = 0; node < fleet.size(); ++node)
+            crowds.emplace_back(fleet.callersEndpoint(node), size, bytes);
+    }
+
+    std::list<crowd> crowds;
+};
+
+std::string repeated(const std::string& request, int count)
+{
+    std::string text;
+    for (int i = 0; i < count; ++i)
+        text += request;
+    return text;
+}
+
+} // namespace
+
+// Guards against whole requests that nodes hold for each other and for their servers.
+TEST_CASE("Whole small requests, many sent ahead, at all nodes at once")
+{
+    constexpr int sentAhead = 20;
+    small_fleet fleet;
+    crowds_everywhere crowds(fleet, 300,
+        repeated(head("Content-Length: " + std::to_string(12 * kilobyte) + "\r\n")
+                + std::string(12 * kilobyte, 'x'),
+            sentAhead));
+    fleet.checkWithSockets();
+}
+
+TEST_CASE("Whole large bodies at all nodes at once")
+{
+    small_fleet fleet;
+    crowds_everywhere crowds(fleet, fewCallers,
+        head("Content-Length: " + std::to_string(maxBodyBytes) + "\r\n") + std::string(maxBodyBytes, 'x'));
+    fleet.checkWithSockets();
+}
+
+TEST_CASE("Large responses that nobody reads, many asked for ahead, at all nodes at once")
+{
+    constexpr int sentAhead = 10;
+    small_fleet fleet;
+    crowds_everywhere crowds(fleet, 100,
+        repeated(
+            "GET /browse/large HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: c1\r\nDeadline-Ms: 60000\r\n"
+            "Authorization: Bearer k1\r\n\r\n",
+            sentAhead));
+    fleet.checkWithSockets();
+}
