--- a/packages/decisions/src/backend_identity.cpp
+++ b/packages/decisions/src/backend_identity.cpp
@@ -21,14 +21,14 @@
     return m_current->startedAt == heartbeat.startedAt;
 }
 
-bool backend_identity::isFromFormerStart(const backend_heartbeat& heartbeat) const
+bool backend_identity::isFormerStart(wall_time startedAt) const
 {
-    return heartbeat.startedAt < m_newestStart || heartbeat.startedAt == m_replacedStart;
+    return startedAt < m_newestStart || startedAt == m_replacedStart;
 }
 
 heartbeat_effect backend_identity::applyHeartbeat(const backend_heartbeat& heartbeat, instant now)
 {
-    if (isFromFormerStart(heartbeat)) {
+    if (isFormerStart(heartbeat.startedAt)) {
         // Late heartbeats of a former start come while the newest one is heard. Otherwise the wall clock went
         // back.
         bool isSilent = m_heardAt && now - *m_heardAt > maxHeartbeatDelay;
@@ -64,7 +64,7 @@
 bool backend_identity::deregister(const backend_server_id& id, wall_time startedAt, wall_time now)
 {
     bool isStartKnown = startedAt != wall_time {};
-    if (isStartKnown && startedAt < m_newestStart)
+    if (isStartKnown && isFormerStart(startedAt))
         return false;
     if (!isStartKnown && m_current && m_current->id != id)
         return false;
--- a/packages/decisions/src/backend_identity.h
+++ b/packages/decisions/src/backend_identity.h
@@ -74,7 +74,7 @@
 
 private:
     bool isSameStart(const backend_heartbeat& heartbeat) const;
-    bool isFromFormerStart(const backend_heartbeat& heartbeat) const;
+    bool isFormerStart(wall_time startedAt) const;
 
     std::optional<backend_heartbeat> m_current;
     wall_time m_newestStart {}; ///< Kept by forget(), so that late heartbeats of older starts are ignored.
--- a/test/proxy/backend_identity.cpp
+++ b/test/proxy/backend_identity.cpp
@@ -192,6 +192,13 @@
             identity.applyHeartbeat(heartbeatOf("a", 9000ms, 6), start + 14s) == heartbeat_effect::newStart);
         CHECK(identity.isAccepting());
     }
+    SUBCASE("and a late deregistration of the replaced start does not concern it")
+    {
+        CHECK(identity.applyHeartbeat(heartbeatOf("b", 5000ms, 1), start + 8s) == heartbeat_effect::newStart);
+        CHECK_FALSE(identity.deregister(backend_server_id("a"), wall_time(9000ms), wall_time(10'000ms)));
+        CHECK(identity.isAccepting());
+        CHECK(identity.applyHeartbeat(heartbeatOf("b", 5000ms, 2), start + 9s) == heartbeat_effect::accepted);
+    }
     SUBCASE("and not while a deregistration is the newest that is known")
     {
         CHECK(identity.deregister(backend_server_id("b"), wall_time(12'000ms), wall_time(13'000ms)));
