End stalled connections for memory only while that releases some

Each check under pressure ended all connections that had stalled for a second, idle ones as well, which hold no counted bytes. A head that this process holds back no longer meets the timeout of its caller. Both found in review, from the source.

--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -382,7 +382,8 @@
             return;
         auto now = m_server.m_hooks.clock().monotonic;
         bool isIdle = m_pending.empty() && m_unsent.empty() && !m_isWriting;
-        if (m_reader.isInHead() && now - m_headStartedAt >= m_limits.headerTimeout && !m_isDiscardingInput)
+        bool isHeadDue = m_reader.isInHead() && !m_growth.isPaused() && !m_isDiscardingInput;
+        if (isHeadDue && now - m_headStartedAt >= m_limits.headerTimeout)
             respondWithError(408, "the head of the request took too long");
         else if (isIdle && now - m_lastActivity >= m_limits.idleTimeout) {
             closeConnection();
--- a/packages/proxy/src/receive_throttle.cpp
+++ b/packages/proxy/src/receive_throttle.cpp
@@ -43,10 +43,20 @@
         return;
     m_timer.startAfter(checkInterval, [this] {
         auto now = m_clock().monotonic;
-        while (isExhausted() && m_connections.endForMemory(now)) { }
+        endStalledConnections(now);
         m_controller.resumePaused(now);
         checkPaused();
     });
 }
 
+/** Ends connections that have stalled while the account is exhausted and that helps. */
+void receive_throttle::endStalledConnections(instant now)
+{
+    while (isExhausted()) {
+        auto before = m_controller.account().heldBytes();
+        if (!m_connections.endForMemory(now) || m_controller.account().heldBytes() >= before)
+            return;
+    }
+}
+
 } // namespace pomelohub
--- a/packages/proxy/src/receive_throttle.h
+++ b/packages/proxy/src/receive_throttle.h
@@ -52,6 +52,7 @@
 
 private:
     void checkPaused();
+    void endStalledConnections(instant now);
 
     growth_controller m_controller;
     open_connections m_connections;
