Send a server nothing between a first configuration and its rate being in force

A question is dropped when a new start is known, as its answer concerns the former one. Requests of the last 100 ms before a question stay counted, since they may arrive after its answer. The cases of the gateway now use the settings that are deployed, so that they meet the exact bound.

--- a/packages/decisions/src/start_window.cpp
+++ b/packages/decisions/src/start_window.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-    /** A second, and a tenth of it for requests that arrive sooner or later than others. */
-    constexpr duration span = std::chrono::milliseconds(1100);
+    /** By how much requests may arrive later than others. */
+    constexpr duration maxDelay = std::chrono::milliseconds(100);
+    constexpr duration span = std::chrono::seconds(1) + maxDelay;
 
 } // namespace
 
@@ -18,6 +19,8 @@
         --m_reserved;
 }
 
+void start_window::confirmWarm(instant time) { m_warmAt = std::max(m_warmAt, time - maxDelay); }
+
 void start_window::recordStart(instant now)
 {
     withdraw();
--- a/packages/decisions/src/start_window.h
+++ b/packages/decisions/src/start_window.h
@@ -30,8 +30,8 @@
     /** Limits the requests to \p count a second, at least 1; nothing for no limit. */
     void setLimit(std::optional<std::size_t> count) { m_limit = count; }
 
-    /** The server was warm at \p time, so that requests sent until then count no longer. */
-    void confirmWarm(instant time) { m_warmAt = std::max(m_warmAt, time); }
+    /** The server was warm at \p time, so that requests that had reached it by then count no longer. */
+    void confirmWarm(instant time);
 
     /** Whether one more request may be granted a slot. */
     bool mayStart(instant now) const { return !m_limit || remaining(now) > 0; }
--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -83,7 +83,7 @@
     if (!m_identity.isAccepting())
         return notRun(refusal_reason::noBackendServer, "the backend server has not announced itself");
     const auto* profile = profileIn(snapshot);
-    if ((m_identity.isCold(now) || !m_warmupPerSecond) && !profile)
+    if (!m_warmupPerSecond || (m_identity.isCold(now) && !profile))
         return notRun(refusal_reason::nodeStarting, "it is not known yet what a cold server can handle");
     if (m_hooks.isQuarantined(request.request.fingerprint, now))
         return tl::unexpected(quarantineRefusal(request.request.fingerprint));
@@ -609,6 +609,8 @@
         reportCrash("new_start", now);
         m_healthCheck.reset();
         applyRequestLimit(std::nullopt, now);
+        if (m_question)
+            std::exchange(m_question, nullptr)->cancel(); // It concerns the former start.
         while (!m_idleConnections.empty()) {
             m_idleConnections.front().connection->cancel();
             m_idleConnections.pop_front();
@@ -756,6 +758,8 @@
         }
     }
     for (const auto& request : expiredGrants) {
+        if (request->m_stage != gateway_request::stage::granted)
+            continue; // A hook of another one has ended it.
         refuse(*request, refusal(refusal_reason::pathFailed, "the request did not follow its offer"), false);
         releaseSlot(*request, std::nullopt, now);
     }
--- a/test/proxy/backend_gateway.cpp
+++ b/test/proxy/backend_gateway.cpp
@@ -570,4 +570,6 @@
     auto settled = std::chrono::steady_clock::now() + 200ms;
     runUntil(fixture.context, [&] { return std::chrono::steady_clock::now() > settled; });
     CHECK(fixture.backend.connections == 1);
+    fixture.beat();
+    CHECK(runUntil(fixture.context, [&] { return fixture.backend.connections == 2; }));
 }
--- a/test/proxy/cold_server.cpp
+++ b/test/proxy/cold_server.cpp
@@ -302,3 +302,34 @@
         RC_ASSERT(play.sent.size() > 20 * warmupPerSecond / 2);
     }));
 }
+
+TEST_CASE("A server gets nothing from the moment at which a first configuration is known to the rate being "
+          "in force")
+{
+    gateway_fixture fixture;
+    auto routes = fixture.snapshot->routes;
+    fixture.snapshot->routes = nullptr;
+    backend_gateway starting(fixture.context, fixture.backend.acceptor.local_endpoint(), service_id("a"),
+        data_centre_id("z"), fixture.words, {}, quietLog(),
+        { readSystemClock, [&] { return handle<const fleet_snapshot>(fixture.snapshot); },
+            [](request_fingerprint, instant) { return false; },
+            [](const std::vector<interrupted_request>&) {}, [](request_fingerprint) {} });
+    backend_heartbeat heartbeat;
+    heartbeat.id = backend_server_id("i-1");
+    heartbeat.service = service_id("a");
+    heartbeat.sequence = 1;
+    heartbeat.startedAt = wall_time(1000ms);
+    starting.handleHeartbeat(heartbeat);
+    fixture.snapshot->routes = routes;
+    auto submit = [&] {
+        std::optional<forward_reply> reply;
+        auto request = fixture.make();
+        request->onReply = [&](forward_reply what) { reply = std::move(what); };
+        starting.submit(request);
+        REQUIRE(runUntil(fixture.context, [&] { return reply.has_value(); }));
+        return std::move(*reply);
+    };
+    checkNotRun(submit(), refusal_reason::nodeStarting);
+    starting.onSnapshotChanged();
+    CHECK(submit().response);
+}
--- a/test/proxy/gateway_fixture.h
+++ b/test/proxy/gateway_fixture.h
@@ -114,7 +114,7 @@
     std::vector<request_fingerprint> crashed;
     std::set<request_fingerprint> quarantined;
     backend_gateway gateway { context, backend.acceptor.local_endpoint(), service_id("a"),
-        data_centre_id("z"), words, {}, quietLog(),
+        data_centre_id("z"), words, makePolicy(), quietLog(),
         { readSystemClock, [this] { return handle<const fleet_snapshot>(snapshot); },
             [this](request_fingerprint fingerprint, instant) { return quarantined.contains(fingerprint); },
             [this](const std::vector<interrupted_request>& interrupted) {
@@ -135,6 +135,13 @@
         beat();
     }
 
+    static gateway_policy makePolicy()
+    {
+        gateway_policy policy;
+        policy.coldServers = { 1.5, 5 }; // As deployed.
+        return policy;
+    }
+
     static service_profile makeProfile()
     {
         service_profile profile;
