--- a/packages/proxy/src/backend_gateway.cpp
+++ b/packages/proxy/src/backend_gateway.cpp
@@ -333,8 +333,8 @@
             { request.request.fingerprint, request.m_backend, request.m_backendStartedAt, request.m_startedAt,
                 now } });
     }
-    releaseSlot(
-        request, std::nullopt, now); // After recordOutcome(), which may refuse the requests that wait.
+    // After recordOutcome(), which may refuse the requests that wait.
+    releaseSlot(request, std::nullopt, now);
     verifyServer();
     auto reason = isPastDeadline ? refusal_reason::deadlineExceeded : refusal_reason::backendServerFailed;
     finishAsMayHaveRun(request, reason,
--- a/packages/proxy/src/http_server.cpp
+++ b/packages/proxy/src/http_server.cpp
@@ -10,7 +10,7 @@
 
     constexpr std::size_t readBufferBytes = 16'384;
     constexpr std::size_t readBytesUnderPressure = 4'096; ///< While the memory for messages is used up.
-    /** What the kernel sets aside for a socket with the receive buffer of setReceiveBuffer(). */
+    /** What the kernel sets aside for a socket with the receive buffer of limitReceiveBuffer(). */
     constexpr std::size_t receiveBufferBytes = 128 << 10;
     constexpr std::size_t maxUnsentBytes = 1
         << 20; ///< Reading pauses while the client doesn't read its responses.
